Set down the shape: stages, frozen messages, protocols, one path

Considered: direct calls between the filters. They are faster, but share state and hide where a request can be refused; a stage costs one queue hop.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: demo test bench slopes clean check
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -e '.[test]'
+	touch $@
+
+check: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check src tests bench
+	$(VENV)/bin/ruff check src tests bench
+	$(VENV)/bin/mypy
+
+test: check
+	$(VENV)/bin/pytest
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m bench.demo
+
+bench: $(VENV)/.installed
+	$(PYTHON) -m bench.measures
+
+slopes: $(VENV)/.installed
+	$(PYTHON) -m bench.slopes
+
+clean:
+	rm -rf $(VENV) build *.egg-info src/*.egg-info .mypy_cache .ruff_cache
+	rm -rf .pytest_cache .hypothesis demo-logs bench/results/*.jsonl
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, measurements and load experiments."""
--- /dev/null
+++ b/src/sardinemill/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, codecs and clocks behind the protocols of ``interfaces``."""
--- /dev/null
+++ b/src/sardinemill/control.py
@@ -0,0 +1,406 @@
+"""Frozen messages of the control path: positions, failover, lending, membership."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .groups import Address, GroupDescription
+from .messages import Reply, Request
+from .positions import LogPosition
+
+
+class Role(StrEnum):
+    """Role of a database in its group."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+class InstanceState(StrEnum):
+    """State of an instance in the platform's list and in heartbeats."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+# Databases
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DatabaseReport:
+    """State of a database.
+
+    :param fenced_term: highest term that the database accepted a fence for.
+    :param position: last entry of its log.
+    :param incarnation: changes when the database restarts.
+    :param is_leaving: the database wants no new work.
+    :param asked_at: local monotonic seconds before the question was sent; 0 until the
+        adapter sets it.
+    :param received_at: local monotonic seconds at receipt; 0 until the adapter sets it.
+    """
+
+    group: str
+    database: str
+    role: Role
+    fenced_term: int
+    position: LogPosition
+    incarnation: str
+    is_leaving: bool = False
+    asked_at: float = 0.0
+    received_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportFailure:
+    """A report call failed or timed out."""
+
+    group: str
+    database: str
+    asked_at: float
+    failed_at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportQuery:
+    """Asks the prober of a database for a report.
+
+    :param wait_for: see :meth:`ControlConnection.report`.
+    """
+
+    group: str
+    database: str
+    wait_for: LogPosition | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FenceOrder:
+    """Asks a database to accept nothing below ``term``."""
+
+    group: str
+    database: str
+    term: int
+    orderer: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FenceAnswer:
+    """:param accepted: whether the database is now fenced at the order's term by its
+    orderer; ``fenced_term`` tells the term in force otherwise.
+    """
+
+    group: str
+    database: str
+    term: int
+    accepted: bool
+    fenced_term: int
+    position: LogPosition
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromoteOrder:
+    """Asks a fenced database to become primary of ``term``."""
+
+    group: str
+    database: str
+    term: int
+    orderer: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromoteAnswer:
+    """:param position: first entry of the new term when ``accepted``."""
+
+    group: str
+    database: str
+    term: int
+    accepted: bool
+    fenced_term: int
+    position: LogPosition
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderFailure:
+    """A fence or promote call got no answer; its effect is unknown."""
+
+    order: FenceOrder | PromoteOrder
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrimaryChanged:
+    """News of a primary; the highest term wins."""
+
+    group: str
+    database: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupsChanged:
+    """Groups whose home this instance is, with the instances ranked as homes.
+
+    :param homes: group name to home instances, best first.
+    """
+
+    groups: tuple[GroupDescription, ...]
+    homes: tuple[tuple[str, tuple[str, ...]], ...]
+
+
+# Instances
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceInfo:
+    """One instance of the fleet."""
+
+    name: str
+    data_centre: str
+    peer_address: Address
+    front_address: Address
+    state: InstanceState = InstanceState.LIVE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """Sign of life between instances.
+
+    :param sequence: counts up from 1 in one process.
+    :param configuration_version: version in force at the sender.
+    """
+
+    source: str
+    incarnation: str
+    sequence: int
+    state: InstanceState
+    configuration_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipChanged:
+    """Instances in use now: listed, heard from, and not suspected.
+
+    :param live: take new work.
+    :param leaving: finish work, take none.
+    """
+
+    live: tuple[InstanceInfo, ...]
+    leaving: tuple[InstanceInfo, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerEnvelope:
+    """Message to or from another instance.
+
+    :param peer: destination when offered to the link, source when received.
+    """
+
+    peer: str
+    message: object
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardedRequest:
+    """Request on its way to a home.
+
+    :param remaining_seconds: time to the deadline when it was sent; the receiver turns
+        it into a deadline on its own clock.
+    """
+
+    request: Request
+    entry: str
+    remaining_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardedReply:
+    """Reply on its way back to the entry instance."""
+
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardedCancellation:
+    """The caller of a forwarded request has gone."""
+
+    request_id: str
+
+
+# Rate limits
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BorrowRequest:
+    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``."""
+
+    borrow_id: str
+    borrower: str
+    workspace: str
+    n_tokens: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Loan:
+    """Answer to a borrow request.
+
+    :param n_tokens: granted tokens; 0 when the bucket is empty or the sender does not
+        own the shard.
+    :param lifetime_seconds: counted by the borrower from when it sent the request.
+    :param retry_after_seconds: when the bucket holds tokens again.
+    :param owner: instance that the sender believes to be the owner.
+    """
+
+    borrow_id: str
+    workspace: str
+    epoch: int
+    n_tokens: float
+    lifetime_seconds: float
+    retry_after_seconds: float = 0.0
+    owner: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoanReturn:
+    """Unspent tokens of a loan that has not ended yet."""
+
+    borrow_id: str
+    borrower: str
+    workspace: str
+    epoch: int
+    n_tokens: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardLease:
+    """Lease of a shard as the local lease task sees it.
+
+    :param epoch: counts changes of owner.
+    :param valid_until: local monotonic seconds; counted from before the renewal call.
+    :param taken_at: local monotonic seconds at which this owner began.
+    """
+
+    shard: int
+    owner: str
+    epoch: int
+    valid_until: float
+    taken_at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeatLease:
+    """Seat of this instance; ``None`` as seat means that it holds none."""
+
+    seat: int | None
+    valid_until: float
+
+
+# Configuration
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VersionQuery:
+    """Asks a relay for its configuration version; ``query_id`` matches the answer."""
+
+    query_id: str
+    source: str
+    known_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VersionAnswer:
+    """Configuration state of a relay.
+
+    :param confirmed_age_seconds: time since the version was last confirmed against the
+        store, at the time of the answer.
+    :param store_unreachable_seconds: how long the relay's store calls have failed; 0
+        while they succeed.
+    :param document: encoded configuration when the asker's version is older.
+    """
+
+    query_id: str
+    source: str
+    data_centre: str
+    version: int
+    confirmed_age_seconds: float
+    store_unreachable_seconds: float
+    document: bytes | None = field(default=None, repr=False)
+
+
+# Home side
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DatabaseLoad:
+    """Queue of a database at this home.
+
+    :param mean_service_seconds: smoothed time of one request on a connection.
+    """
+
+    database: str
+    n_queued: int
+    n_running: int
+    mean_service_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainStarted:
+    """This instance was asked to stop; it takes no new work from now on."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceList:
+    """Platform's list of instances, passed on inside a data centre."""
+
+    instances: tuple[InstanceInfo, ...]
+
+
+# Calls to the platform's store
+
+
+class StoreOperation(StrEnum):
+    """Operation of the platform's store."""
+
+    GET = "get"
+    PUT = "put"
+    DELETE = "delete"
+    WATCH = "watch"
+    LIST_NAMES = "list names"
+    LIST_INSTANCES = "list instances"
+
+
+class StoreFailure(StrEnum):
+    """Why a store call failed."""
+
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCall:
+    """Call that a store task makes for a filter; fields as in ``interfaces.Store``.
+
+    :param name: object name, or the prefix for ``LIST_NAMES``.
+    """
+
+    call_id: str
+    operation: StoreOperation
+    name: str = ""
+    value: bytes = field(default=b"", repr=False)
+    expected_version: int = 0
+    after_version: int = 0
+    timeout_seconds: float = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreReply:
+    """Outcome of a store call.
+
+    :param version: version of the object; after a conflict the current one.
+    :param failure: ``UNAVAILABLE`` leaves the effect of an update unknown.
+    :param asked_at: local monotonic seconds before the call was sent.
+    """
+
+    call: StoreCall
+    failure: StoreFailure | None
+    asked_at: float
+    version: int = 0
+    value: bytes = field(default=b"", repr=False)
+    names: tuple[str, ...] = ()
+    instances: tuple[InstanceInfo, ...] = ()
--- /dev/null
+++ b/src/sardinemill/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the pipeline: state, message and time in, emissions out."""
--- /dev/null
+++ b/src/sardinemill/filters/authentication.py
@@ -0,0 +1,227 @@
+"""Maps the key of a request to its workspace, and drops the key."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from ..configuration import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    ConfigurationChanged,
+    ConfigurationConfirmed,
+    hash_key,
+)
+from ..errors import Outcome
+from ..interfaces import Emission
+from ..messages import (
+    AuthenticatedRequest,
+    CallerRequest,
+    Refusal,
+    RefusalCode,
+    Request,
+)
+
+# The target asks for a change of configuration to be in force within 4 s.
+CONFIRMATION_LIMIT_SECONDS = 4.0
+
+
+class KeyPolicy(Protocol):
+    """Decides whether keys may be trusted at a given age of the configuration."""
+
+    def allows(self, confirmation: ConfigurationConfirmed, now: float) -> bool:
+        """Tell whether keyed requests may run."""
+        ...
+
+
+class StrictKeyPolicy:
+    """Refuses keyed requests once a withdrawal could have been missed.
+
+    While the store is unreachable from every data centre no edit can be accepted, so
+    the configuration in force is still the latest.
+
+    :param limit_seconds: greatest age of a confirmation.
+    """
+
+    def __init__(self, limit_seconds: float = CONFIRMATION_LIMIT_SECONDS) -> None:
+        self._limit_seconds = limit_seconds
+
+    def allows(self, confirmation: ConfigurationConfirmed, now: float) -> bool:
+        return (
+            confirmation.is_store_down_everywhere
+            or now - confirmation.confirmed_at <= self._limit_seconds
+        )
+
+
+class AvailableKeyPolicy:
+    """Serves whatever the age; a withdrawn key may live as long as a partition."""
+
+    def allows(self, confirmation: ConfigurationConfirmed, now: float) -> bool:
+        return True
+
+
+_NEVER_CONFIRMED = ConfigurationConfirmed(version=0, confirmed_at=float("-inf"))
+
+
+class KeyRegister:
+    """Configuration in force as far as the check of keys needs it.
+
+    :param policy: decides on old configurations.
+    """
+
+    def __init__(self, policy: KeyPolicy) -> None:
+        self._policy = policy
+        self._confirmation = _NEVER_CONFIRMED
+        self._by_digest: dict[str, str] = {}
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+
+    def update(self, message: ConfigurationChanged | ConfigurationConfirmed) -> None:
+        """Take a higher version or a newer confirmation."""
+        if isinstance(message, ConfigurationConfirmed):
+            self._confirmation = message
+            return
+        if message.configuration.version > self.configuration.version:
+            self.configuration = message.configuration
+            self._by_digest = {
+                key.digest: key.key_id for key in self.configuration.keys.values()
+            }
+
+    def find_key(self, key: str) -> str | None:
+        """Return the id of the key, or ``None``."""
+        return self._by_digest.get(hash_key(key))
+
+    def is_current(self, now: float) -> bool:
+        """Tell whether the policy trusts the configuration in force."""
+        return self._policy.allows(self._confirmation, now)
+
+
+def refuse_old_configuration(request_id: str, step: str) -> Refusal:
+    """Make the refusal for an instance that may have missed a withdrawal."""
+    return Refusal(
+        request_id=request_id,
+        code=RefusalCode.CONFIGURATION_TOO_OLD,
+        outcome=Outcome.NOT_RUN,
+        step=step,
+        message="this instance cannot confirm its configuration",
+        retry_after_seconds=1.0,
+    )
+
+
+class Authentication:
+    """Filter at the entry: key to workspace.
+
+    Outlets: ``next`` for :class:`AuthenticatedRequest` and cancellations, ``reply``.
+    """
+
+    next_tick: float | None = None
+
+    def __init__(self, policy: KeyPolicy) -> None:
+        self._register = KeyRegister(policy)
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, ConfigurationChanged | ConfigurationConfirmed):
+            self._register.update(message)
+            return ()
+        if not isinstance(message, CallerRequest):
+            return (Emission("next", message),)
+        return (self._authenticate(message, now),)
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        return ()
+
+    def _authenticate(self, caller: CallerRequest, now: float) -> Emission:
+        key_id = None if caller.key is None else self._register.find_key(caller.key)
+        if key_id is None:
+            return self._refuse(
+                caller, RefusalCode.UNAUTHORIZED, "the key is missing or unknown"
+            )
+        if not self._register.is_current(now):
+            return Emission(
+                "reply", refuse_old_configuration(caller.request_id, "authentication")
+            )
+        configuration = self._register.configuration
+        workspace = configuration.workspaces[configuration.keys[key_id].workspace]
+        if caller.session is not None and caller.session.workspace != workspace.name:
+            return self._refuse(
+                caller,
+                RefusalCode.FORBIDDEN,
+                "the session token belongs to another workspace",
+            )
+        return Emission(
+            "next",
+            AuthenticatedRequest(
+                caller=_drop_key(caller),
+                workspace=workspace.name,
+                key_id=key_id,
+                group=workspace.group,
+            ),
+        )
+
+    def _refuse(self, caller: CallerRequest, code: RefusalCode, text: str) -> Emission:
+        return Emission(
+            "reply",
+            Refusal(
+                request_id=caller.request_id,
+                code=code,
+                outcome=Outcome.NOT_RUN,
+                step="authentication",
+                message=text,
+            ),
+        )
+
+
+class Authorization:
+    """Filter before execution: the key must still be in force.
+
+    Queued and forwarded work of a withdrawn key stops here.
+
+    Outlets: ``next``, ``reply``.
+    """
+
+    next_tick: float | None = None
+
+    def __init__(self, policy: KeyPolicy) -> None:
+        self._register = KeyRegister(policy)
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, ConfigurationChanged | ConfigurationConfirmed):
+            self._register.update(message)
+            return ()
+        if isinstance(message, Request):
+            refusal = self.check(message, now)
+            if refusal is not None:
+                return (Emission("reply", refusal),)
+        return (Emission("next", message),)
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        return ()
+
+    def check(self, request: Request, now: float) -> Refusal | None:
+        """Return the refusal of a request whose key is not in force, or ``None``."""
+        if not self._register.is_current(now):
+            return refuse_old_configuration(request.request_id, "authorization")
+        key = self._register.configuration.keys.get(request.key_id)
+        if key is not None and key.workspace == request.workspace:
+            return None
+        return Refusal(
+            request_id=request.request_id,
+            code=RefusalCode.UNAUTHORIZED,
+            outcome=Outcome.NOT_RUN,
+            step="authorization",
+            message="the key was withdrawn",
+        )
+
+
+def _drop_key(caller: CallerRequest) -> CallerRequest:
+    return CallerRequest(
+        request_id=caller.request_id,
+        action=caller.action,
+        key=None,
+        sql=caller.sql,
+        parameters=caller.parameters,
+        declared_kind=caller.declared_kind,
+        declared_idempotent=caller.declared_idempotent,
+        idempotency_key=caller.idempotency_key,
+        staleness_seconds=caller.staleness_seconds,
+        session=caller.session,
+        transaction_id=caller.transaction_id,
+        deadline=caller.deadline,
+    )
--- /dev/null
+++ b/src/sardinemill/filters/classification.py
@@ -0,0 +1,133 @@
+"""Decides the kind of a statement before it is routed."""
+
+from collections.abc import Sequence
+from functools import lru_cache
+
+import sqlglot
+from sqlglot import exp
+
+from ..errors import Outcome, StatementError
+from ..interfaces import Emission
+from ..messages import (
+    Action,
+    AuthenticatedRequest,
+    CallerRequest,
+    Refusal,
+    RefusalCode,
+    Request,
+    Statement,
+    StatementKind,
+)
+from ..positions import ORIGIN
+
+N_CACHED_STATEMENTS = 4096
+
+_CONTROL_TYPES = (
+    exp.Transaction,
+    exp.Commit,
+    exp.Rollback,
+    exp.Attach,
+    exp.Detach,
+    exp.Pragma,
+    exp.Command,
+)
+# A subtree of one of these types may change data; unknown functions may as well.
+_DOUBTFUL_TYPES = (
+    exp.Insert,
+    exp.Update,
+    exp.Delete,
+    exp.Create,
+    exp.Drop,
+    exp.Into,
+    exp.Lock,
+    exp.Anonymous,
+)
+
+
+@lru_cache(maxsize=N_CACHED_STATEMENTS)
+def classify_sql(sql: str) -> StatementKind:
+    """Find the kind of a single SQL statement.
+
+    Anything that cannot be shown to be a read is a write.
+
+    :raises StatementError: for transaction control, for several statements in one
+        text and for an empty text.
+    """
+    try:
+        trees = [tree for tree in sqlglot.parse(sql, read="sqlite") if tree]
+    except sqlglot.errors.SqlglotError:
+        # Valid SQL of a dialect that the parser lacks; the database decides.
+        return StatementKind.WRITE
+    if len(trees) != 1:
+        raise StatementError("exactly one statement is needed", step="classification")
+    tree = trees[0]
+    if isinstance(tree, _CONTROL_TYPES):
+        raise StatementError(
+            "transaction control and session commands are not accepted as SQL",
+            step="classification",
+        )
+    if isinstance(tree, exp.Query) and tree.find(*_DOUBTFUL_TYPES) is None:
+        return StatementKind.READ
+    return StatementKind.WRITE
+
+
+class Classification:
+    """Filter that makes a :class:`Request` of an authenticated request.
+
+    Outlets: ``next``, ``reply``.
+    """
+
+    next_tick: float | None = None
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if not isinstance(message, AuthenticatedRequest):
+            return (Emission("next", message),)
+        try:
+            return (Emission("next", self._classify(message)),)
+        except StatementError as error:
+            refusal = Refusal(
+                request_id=message.caller.request_id,
+                code=RefusalCode.BAD_REQUEST,
+                outcome=Outcome.NOT_RUN,
+                step="classification",
+                message=error.message,
+            )
+            return (Emission("reply", refusal),)
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        return ()
+
+    def _classify(self, message: AuthenticatedRequest) -> Request:
+        caller = message.caller
+        statement = None
+        if caller.action in (Action.STATEMENT, Action.TRANSACTION_STATEMENT):
+            statement = _make_statement(caller)
+        session = caller.session
+        position = ORIGIN
+        if session is not None and session.group == message.group:
+            position = session.position
+        return Request(
+            request_id=caller.request_id,
+            action=caller.action,
+            workspace=message.workspace,
+            key_id=message.key_id,
+            group=message.group,
+            statement=statement,
+            idempotency_key=caller.idempotency_key,
+            staleness_seconds=caller.staleness_seconds,
+            minimum_position=position,
+            transaction_id=caller.transaction_id,
+            deadline=caller.deadline,
+        )
+
+
+def _make_statement(caller: CallerRequest) -> Statement:
+    kind = classify_sql(caller.sql)
+    if caller.declared_kind is StatementKind.WRITE:
+        kind = StatementKind.WRITE
+    return Statement(
+        sql=caller.sql,
+        parameters=caller.parameters,
+        kind=kind,
+        idempotent=kind is StatementKind.READ or caller.declared_idempotent,
+    )
--- /dev/null
+++ b/src/sardinemill/pipeline.py
@@ -0,0 +1,168 @@
+"""Stages: one task, one bounded inbox and one filter each."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+
+from .errors import Outcome
+from .interfaces import Clock, Emission, Filter, Outlet
+from .messages import (
+    AuthenticatedRequest,
+    CallerRequest,
+    Refusal,
+    RefusalCode,
+    Request,
+    RoutedRequest,
+)
+
+INBOX_CAPACITY = 4096
+# A stage lets other tasks run after this many messages.
+BATCH_SIZE = 64
+
+_LIMITED_TYPES = (CallerRequest, AuthenticatedRequest, Request, RoutedRequest)
+
+
+class Inbox:
+    """Queue with one reader. Requests are bounded; replies and control are not.
+
+    Replies are bounded by the requests in flight, so only requests count.
+
+    :param capacity: number of messages above which requests are not accepted.
+    """
+
+    def __init__(self, capacity: int = INBOX_CAPACITY) -> None:
+        self._capacity = capacity
+        self._messages: deque[object] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def offer(self, message: object) -> bool:
+        """Append a message.
+
+        :returns: ``False`` when a request met a full inbox.
+        """
+        if isinstance(message, _LIMITED_TYPES) and len(self) >= self._capacity:
+            return False
+        self._messages.append(message)
+        self._wake()
+        return True
+
+    def take(self) -> object | None:
+        """Remove and return the oldest message, or ``None``."""
+        return self._messages.popleft() if self._messages else None
+
+    async def wait(self, timeout_seconds: float | None) -> None:
+        """Return once there is a message or the time is up."""
+        if self._messages or (timeout_seconds is not None and timeout_seconds <= 0):
+            return
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        timer = None
+        if timeout_seconds is not None:
+            timer = loop.call_later(timeout_seconds, self._wake)
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def refuse_overloaded(message: object, step: str) -> Refusal | None:
+    """Make the refusal for a request that met a full inbox.
+
+    :param step: stage whose inbox was full.
+    :returns: ``None`` when the message is not a request.
+    """
+    if isinstance(message, CallerRequest | Request):
+        request_id = message.request_id
+    elif isinstance(message, AuthenticatedRequest):
+        request_id = message.caller.request_id
+    elif isinstance(message, RoutedRequest):
+        request_id = message.request.request_id
+    else:
+        return None
+    return Refusal(
+        request_id=request_id,
+        code=RefusalCode.OVERLOADED,
+        outcome=Outcome.NOT_RUN,
+        step=step,
+        message="the queue of this step is full",
+        retry_after_seconds=1.0,
+    )
+
+
+class Stage:
+    """Task that feeds its inbox to a filter and hands on the emissions.
+
+    :param name: names the stage in events and refusals.
+    :param outlets: outlet names of the filter to receivers.
+    :param on_unbound: called with an emission whose outlet is not bound.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        step: Filter,
+        clock: Clock,
+        *,
+        capacity: int = INBOX_CAPACITY,
+        on_unbound: Callable[[Emission], None] | None = None,
+    ) -> None:
+        self.name = name
+        self.inbox = Inbox(capacity)
+        self._filter = step
+        self._clock = clock
+        self._outlets: dict[str, Outlet] = {}
+        self._on_unbound = on_unbound
+
+    def bind(self, outlets: Mapping[str, Outlet]) -> None:
+        """Connect outlet names to receivers."""
+        self._outlets.update(outlets)
+
+    def offer(self, message: object) -> bool:
+        """Put a message into the inbox."""
+        return self.inbox.offer(message)
+
+    async def run(self) -> None:
+        """Serve the inbox until cancelled."""
+        while True:
+            next_tick = self._filter.next_tick
+            timeout = None if next_tick is None else next_tick - self._clock.now()
+            await self.inbox.wait(timeout)
+            self._serve_batch()
+            # Yields to other tasks even when messages keep arriving.
+            await asyncio.sleep(0)
+
+    def _serve_batch(self) -> None:
+        for _ in range(BATCH_SIZE):
+            message = self.inbox.take()
+            if message is None:
+                break
+            self._emit(self._filter.handle(message, self._clock.now()))
+        next_tick = self._filter.next_tick
+        now = self._clock.now()
+        if next_tick is not None and next_tick <= now:
+            self._emit(self._filter.tick(now))
+
+    def _emit(self, emissions: Sequence[Emission]) -> None:
+        for emission in emissions:
+            outlet = self._outlets.get(emission.outlet)
+            if outlet is None:
+                if self._on_unbound is not None:
+                    self._on_unbound(emission)
+                continue
+            if not outlet.offer(emission.message):
+                self._refuse(emission)
+
+    def _refuse(self, emission: Emission) -> None:
+        refusal = refuse_overloaded(emission.message, emission.outlet)
+        reply = self._outlets.get("reply")
+        if refusal is not None and reply is not None:
+            reply.offer(refusal)
