Add the HTTP front end, signed session tokens and instance status

Callers speak HTTP/1.1 with JSON. A reply is matched by request id; one that nobody waits for is dropped, so late, doubled and crossed replies cannot reach another caller. A reply that does not come before the deadline is reported as unknown.

Ruled out: keeping sessions in memory, which roaming would break.

--- /dev/null
+++ b/src/sardinemill/adapters/frontend.py
@@ -0,0 +1,230 @@
+"""HTTP/1.1 front end for callers."""
+
+import asyncio
+
+from aiohttp import web
+
+from ..errors import CodecError, Outcome, TokenError
+from ..interfaces import Clock, Outlet, RandomSource
+from ..messages import (
+    Action,
+    Answer,
+    CallerRequest,
+    Cancellation,
+    Refusal,
+    RefusalCode,
+    Reply,
+)
+from ..pipeline import refuse_overloaded
+from ..status import StatusBoard
+from ..tokens import TokenSigner
+from . import http_codec
+
+MAX_BODY_BYTES = 1_000_000
+MAX_ANSWER_BYTES = 8_000_000
+# Time beyond the deadline after which a reply that never came counts as unknown.
+REPLY_GRACE_SECONDS = 1.0
+SHUTDOWN_SECONDS = 65.0
+
+_ROUTES = (
+    ("/v1/statement", Action.STATEMENT),
+    ("/v1/transaction", Action.BEGIN),
+    ("/v1/transaction/{transaction}/statement", Action.TRANSACTION_STATEMENT),
+    ("/v1/transaction/{transaction}/commit", Action.COMMIT),
+    ("/v1/transaction/{transaction}/rollback", Action.ROLLBACK),
+)
+
+
+class HttpFrontEnd:
+    """Listener for callers. Sends requests to ``pipeline`` and awaits the replies.
+
+    :param pipeline: first stage of the request path.
+    :param board: answers the open status routes.
+    :param drain_seconds: time for which the listener stays open after a drain began,
+        because the balancer learns of it late.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        pipeline: Outlet,
+        board: StatusBoard,
+        signer: TokenSigner,
+        clock: Clock,
+        random_source: RandomSource,
+        drain_seconds: float,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._pipeline = pipeline
+        self._board = board
+        self._signer = signer
+        self._clock = clock
+        self._random_source = random_source
+        self._drain_seconds = drain_seconds
+        self._pending: dict[str, asyncio.Future[Reply]] = {}
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def port(self) -> int:
+        """Port of the listener; known after the start when 0 was asked for."""
+        return self._port
+
+    def offer(self, message: object) -> bool:
+        """Take a reply; one that nobody waits for any more is dropped."""
+        if isinstance(message, Answer | Refusal):
+            future = self._pending.get(message.request_id)
+            if future is not None and not future.done():
+                future.set_result(message)
+        self._board.update(message)
+        return True
+
+    async def start(self) -> None:
+        """Open the listener."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        for path, action in _ROUTES:
+            application.router.add_post(path, self._make_handler(action))
+        application.router.add_get("/v1/health", self._show_health)
+        application.router.add_get("/v1/ready", self._show_ready)
+        application.router.add_get("/v1/status", self._show_status)
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, self._port, backlog=1024)
+        await site.start()
+        self._port = self._runner.addresses[0][1]
+
+    async def drain(self) -> None:
+        """Keep serving until the balancer has noticed, then finish open requests."""
+        await self._clock.sleep(self._drain_seconds)
+        if self._runner is not None:
+            for site in list(self._runner.sites):
+                await site.stop()
+        while self._pending:
+            await asyncio.wait(list(self._pending.values()))
+            # Lets the handlers write their responses.
+            await asyncio.sleep(0)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def _make_handler(self, action: Action):  # type: ignore[no-untyped-def]
+        async def handle(http_request: web.Request) -> web.Response:
+            return await self._handle(http_request, action)
+
+        return handle
+
+    async def _handle(self, http_request: web.Request, action: Action) -> web.Response:
+        request_id = self._random_source.make_id()
+        try:
+            request = await self._decode(http_request, action, request_id)
+        except web.HTTPRequestEntityTooLarge:
+            reply: Reply = _refuse(
+                request_id, RefusalCode.TOO_LARGE, "the body is over 1 MB"
+            )
+        except TokenError as error:
+            reply = _refuse(request_id, RefusalCode.BAD_TOKEN, error.message)
+        except CodecError as error:
+            reply = _refuse(request_id, RefusalCode.BAD_REQUEST, error.message)
+        else:
+            reply = await self._run(request)
+        return self._respond(reply)
+
+    async def _decode(
+        self, http_request: web.Request, action: Action, request_id: str
+    ) -> CallerRequest:
+        body = await http_request.read()
+        return http_codec.decode_request(
+            request_id=request_id,
+            action=action,
+            headers=http_request.headers,
+            body=body,
+            transaction=http_request.match_info.get("transaction"),
+            signer=self._signer,
+            now=self._clock.now(),
+        )
+
+    async def _run(self, request: CallerRequest) -> Reply:
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._pending[request.request_id] = future
+        timeout = request.deadline - self._clock.now() + REPLY_GRACE_SECONDS
+        try:
+            if not self._pipeline.offer(request):
+                refusal = refuse_overloaded(request, "frontend")
+                if refusal is not None:
+                    self._board.update(refusal)
+                    return refusal
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            self._pipeline.offer(Cancellation(request_id=request.request_id))
+            return Refusal(
+                request_id=request.request_id,
+                code=RefusalCode.DEADLINE,
+                outcome=Outcome.UNKNOWN,
+                step="frontend",
+                message="no reply before the deadline",
+            )
+        except asyncio.CancelledError:
+            self._pipeline.offer(Cancellation(request_id=request.request_id))
+            raise
+        finally:
+            del self._pending[request.request_id]
+
+    def _respond(self, reply: Reply) -> web.Response:
+        if isinstance(reply, Answer):
+            body, headers = http_codec.encode_answer(reply, self._signer)
+            if len(body) > MAX_ANSWER_BYTES:
+                return self._respond(_refuse_large_answer(reply))
+            status = 200
+        else:
+            status, body, headers = http_codec.encode_refusal(reply, self._signer)
+        response = web.Response(
+            status=status, body=body, headers=headers, content_type="application/json"
+        )
+        if self._board.is_draining:
+            response.force_close()
+        return response
+
+    async def _show_health(self, http_request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _show_ready(self, http_request: web.Request) -> web.Response:
+        is_ready = self._board.is_ready
+        return web.json_response({"ready": is_ready}, status=200 if is_ready else 503)
+
+    async def _show_status(self, http_request: web.Request) -> web.Response:
+        status = self._board.make_status(self._clock.now())
+        return web.Response(
+            body=http_codec.encode_status(status), content_type="application/json"
+        )
+
+
+def _refuse(request_id: str, code: RefusalCode, text: str) -> Refusal:
+    return Refusal(
+        request_id=request_id,
+        code=code,
+        outcome=Outcome.NOT_RUN,
+        step="frontend",
+        message=text,
+    )
+
+
+def _refuse_large_answer(answer: Answer) -> Refusal:
+    return Refusal(
+        request_id=answer.request_id,
+        code=RefusalCode.TOO_LARGE,
+        outcome=Outcome.DONE,
+        step="frontend",
+        peer=answer.served_by,
+        message="the answer is too large; the statement has run",
+        session=answer.session,
+    )
--- /dev/null
+++ b/src/sardinemill/status.py
@@ -0,0 +1,123 @@
+"""Status of one instance, collected from control messages."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .configuration import ConfigurationChanged, ConfigurationConfirmed
+from .control import (
+    DrainStarted,
+    GroupsChanged,
+    InstanceState,
+    MembershipChanged,
+    PrimaryChanged,
+)
+from .messages import Answer, Refusal
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupStatus:
+    """A database group as this instance sees it.
+
+    :param primary: database that is known to be the primary, or ``""``.
+    """
+
+    group: str
+    primary: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Status:
+    """What an operator may know about one instance.
+
+    :param confirmed_age_seconds: age of the last confirmation of the configuration;
+        ``None`` before the first.
+    :param groups: groups whose home this instance is.
+    :param refusals: refusals since the start, by code.
+    """
+
+    instance: str
+    data_centre: str
+    state: InstanceState
+    configuration_version: int
+    confirmed_age_seconds: float | None
+    groups: tuple[GroupStatus, ...] = ()
+    n_live_instances: int = 0
+    n_answers: int = 0
+    n_replica_answers: int = 0
+    refusals: dict[str, int] = field(default_factory=dict)
+
+
+class StatusBoard:
+    """Collects control messages and counts replies.
+
+    :param instance: name of this instance.
+    """
+
+    def __init__(self, instance: str, data_centre: str) -> None:
+        self._instance = instance
+        self._data_centre = data_centre
+        self._state = InstanceState.LIVE
+        self._version = 0
+        self._confirmed_at: float | None = None
+        self._groups: tuple[str, ...] = ()
+        self._primaries: dict[str, PrimaryChanged] = {}
+        self._n_live_instances = 0
+        self._n_answers = 0
+        self._n_replica_answers = 0
+        self._refusals: Counter[str] = Counter()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance has a configuration and takes new work."""
+        return self._version > 0 and self._state is InstanceState.LIVE
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the instance was asked to stop."""
+        return self._state is InstanceState.LEAVING
+
+    def update(self, message: object) -> None:
+        """Take a control message or a reply."""
+        match message:
+            case ConfigurationChanged():
+                self._version = message.configuration.version
+            case ConfigurationConfirmed():
+                self._confirmed_at = message.confirmed_at
+            case GroupsChanged():
+                self._groups = tuple(group.name for group in message.groups)
+            case PrimaryChanged():
+                known = self._primaries.get(message.group)
+                if known is None or message.term >= known.term:
+                    self._primaries[message.group] = message
+            case MembershipChanged():
+                self._n_live_instances = len(message.live)
+            case DrainStarted():
+                self._state = InstanceState.LEAVING
+            case Answer():
+                self._n_answers += 1
+                self._n_replica_answers += message.from_replica
+            case Refusal():
+                self._refusals[message.code.value] += 1
+
+    def make_status(self, now: float) -> Status:
+        """:param now: seconds on the monotonic clock."""
+        age = None if self._confirmed_at is None else now - self._confirmed_at
+        return Status(
+            instance=self._instance,
+            data_centre=self._data_centre,
+            state=self._state,
+            configuration_version=self._version,
+            confirmed_age_seconds=age,
+            groups=tuple(self._make_group(name) for name in self._groups),
+            n_live_instances=self._n_live_instances,
+            n_answers=self._n_answers,
+            n_replica_answers=self._n_replica_answers,
+            refusals=dict(self._refusals),
+        )
+
+    def _make_group(self, group: str) -> GroupStatus:
+        primary = self._primaries.get(group)
+        if primary is None:
+            return GroupStatus(group=group, primary="", term=0)
+        return GroupStatus(group=group, primary=primary.database, term=primary.term)
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,137 @@
+"""HTTP front end: malformed input, forged tokens, late and missing replies."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from sardinemill.adapters.clocks import SeededRandom, SystemClock
+from sardinemill.adapters.frontend import HttpFrontEnd
+from sardinemill.errors import TokenError
+from sardinemill.messages import Answer, CallerRequest
+from sardinemill.positions import LogPosition, SessionPosition
+from sardinemill.status import StatusBoard
+from sardinemill.tokens import TokenSigner
+
+SIGNER = TokenSigner(b"s" * 32)
+SESSION = SessionPosition("bees", "hives", LogPosition(3, 7))
+
+
+class EchoPipeline:
+    """Answers each statement with its own SQL, in reverse order of pairs."""
+
+    def __init__(self) -> None:
+        self.front_end: HttpFrontEnd | None = None
+        self.held: list[CallerRequest] = []
+        self.n_requests = 0
+
+    def offer(self, message: object) -> bool:
+        if isinstance(message, CallerRequest):
+            self.n_requests += 1
+            self.held.append(message)
+        if len(self.held) == 2:
+            for request in reversed(self.held):
+                self._answer(request)
+            self.held.clear()
+        return True
+
+    def _answer(self, request: CallerRequest) -> None:
+        answer = Answer(
+            request_id=request.request_id, rows=((request.sql,),), session=SESSION
+        )
+        # The second copy arrives when nobody waits for it.
+        self.front_end.offer(answer)
+        self.front_end.offer(answer)
+
+
+async def serve(scenario):
+    pipeline = EchoPipeline()
+    front_end = HttpFrontEnd(
+        "127.0.0.1",
+        0,
+        pipeline=pipeline,
+        board=StatusBoard("i1", "dc1"),
+        signer=SIGNER,
+        clock=SystemClock(),
+        random_source=SeededRandom(1),
+        drain_seconds=0.0,
+    )
+    pipeline.front_end = front_end
+    await front_end.start()
+    try:
+        url = f"http://127.0.0.1:{front_end.port}/v1"
+        async with aiohttp.ClientSession() as client:
+            return await scenario(client, url, pipeline)
+    finally:
+        await front_end.drain()
+        await front_end.stop()
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status", "error"),
+    [
+        (b"{", {}, 400, "bad request"),
+        (b'{"sql": 5}', {}, 400, "bad request"),
+        (b'{"sql": "", "extra": 1}', {}, 400, "bad request"),
+        (b'{"sql": "", "parameters": [9223372036854775808]}', {}, 400, "bad request"),
+        (b'{"sql": ""}', {"Accept-Staleness": "nan"}, 400, "bad request"),
+        (b'{"sql": ""}', {"Accept-Staleness": "inf"}, 400, "bad request"),
+        (b'{"sql": ""}', {"Request-Timeout": "-1"}, 400, "bad request"),
+        (b'{"sql": ""}', {"Idempotency-Key": "x" * 201}, 400, "bad request"),
+        (b'{"sql": ""}', {"Session-Token": "AAAA"}, 400, "bad token"),
+        (b'{"sql": "' + b"x" * 1_000_001 + b'"}', {}, 413, "too large"),
+    ],
+)
+def test_malformed_input_is_refused_as_not_run(body, headers, status, error):
+    """Guards against malformed input that crashes, hangs or reaches a database."""
+
+    async def scenario(client, url, pipeline):
+        async with client.post(f"{url}/statement", data=body, headers=headers) as got:
+            document = await got.json()
+            assert (got.status, document["error"]) == (status, error)
+            assert document["outcome"] == "not run"
+        assert pipeline.n_requests == 0
+
+    asyncio.run(serve(scenario))
+
+
+def test_crossed_and_doubled_replies_reach_their_own_request():
+    """Guards against an answer that goes to another caller."""
+
+    async def post(client, url, sql):
+        async with client.post(f"{url}/statement", json={"sql": sql}) as response:
+            assert SIGNER.verify_session(response.headers["Session-Token"]) == SESSION
+            return (await response.json())["rows"]
+
+    async def scenario(client, url, pipeline):
+        texts = [f"select {number}" for number in range(20)]
+        rows = await asyncio.gather(*(post(client, url, text) for text in texts))
+        assert rows == [[[text]] for text in texts]
+
+    asyncio.run(serve(scenario))
+
+
+def test_reply_that_never_comes_is_unknown():
+    """Guards against a hang, and against "not run" for a request that was sent on."""
+
+    async def scenario(client, url, pipeline):
+        headers = {"Request-Timeout": "0"}
+        async with client.post(
+            f"{url}/statement", json={"sql": "select 1"}, headers=headers
+        ) as response:
+            document = await response.json()
+            assert (response.status, document["outcome"]) == (504, "unknown")
+
+    asyncio.run(serve(scenario))
+
+
+def test_tokens_of_other_fleets_and_changed_tokens_are_rejected():
+    """Guards against forged, truncated and foreign session tokens."""
+    token = SIGNER.sign_session(SESSION)
+    changed = token[:-2] + ("AA" if token[-2:] != "AA" else "BB")
+    foreign = TokenSigner(b"t" * 32).sign_session(SESSION)
+    transaction = SIGNER.sign_transaction("i1/1")
+    for bad in (changed, foreign, transaction, token[:10], "é", "!", ""):
+        with pytest.raises(TokenError):
+            SIGNER.verify_session(bad)
+    assert SIGNER.verify_session(token) == SESSION
