--- /dev/null
+++ b/src/sardinemill/emulator/load.py
@@ -0,0 +1,323 @@
+"""Open-loop load of callers' sessions, with checks of what the answers promise.
+
+Every session inserts increasing numbers and reads the highest one back. From the
+answers follow which numbers must be present, must be absent, or may be either.
+"""
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from ..interfaces import Clock
+
+CREATE_SQL = "create table if not exists event (session text, number integer)"
+INSERT_SQL = "insert into event values (?, ?)"
+READ_SQL = "select max(number) from event where session = ?"
+CONTENT_SQL = "select session, number, count(*) from event group by session, number"
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 120_000_000
+_SIGNIFICANT_DIGITS = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkspaceLoad:
+    """Load of one workspace.
+
+    :param rate_per_second: mean arrivals a second; arrivals are exponential.
+    :param read_share: share of reads among the requests.
+    :param stale_share: share of the reads that accept ``staleness_seconds``.
+    """
+
+    workspace: str
+    key: str = field(repr=False)
+    rate_per_second: float
+    n_sessions: int = 8
+    read_share: float = 0.8
+    stale_share: float = 0.5
+    staleness_seconds: float = 5.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPlan:
+    """Load of a run.
+
+    :param urls: entry instances, one chosen at random for each request.
+    :param random_state: seed of arrivals and choices.
+    :param with_idempotency_keys: whether writes carry a key and are repeated once
+        when their outcome is unknown.
+    """
+
+    workspaces: tuple[WorkspaceLoad, ...]
+    urls: tuple[str, ...]
+    duration_seconds: float
+    random_state: int
+    request_timeout_seconds: float = 5.0
+    with_idempotency_keys: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """One finished request.
+
+    :param error: ``""`` for an answer, else the refusal code or ``"connection"``.
+    :param outcome: ``done``, ``not run`` or ``unknown``.
+    """
+
+    workspace: str
+    started_at: float
+    latency_seconds: float
+    is_read: bool
+    from_replica: bool
+    error: str
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Violation:
+    """A promise that a run found broken."""
+
+    promise: str
+    workspace: str
+    session: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Samples and violations of a run."""
+
+    samples: tuple[Sample, ...]
+    violations: tuple[Violation, ...]
+
+
+class _Session:
+    """Requests of one session, one at a time, and what is known of its numbers."""
+
+    def __init__(self, load: WorkspaceLoad, name: str) -> None:
+        self.load = load
+        self.name = name
+        self.token = ""
+        self.arrivals: asyncio.Queue[float | None] = asyncio.Queue()
+        self.last_number = 0
+        self.last_acknowledged = 0
+        self.outcomes: dict[int, str] = {}
+
+
+class LoadRunner:
+    """Runs a plan.
+
+    :param clock: measures latencies and paces arrivals.
+    """
+
+    def __init__(self, plan: LoadPlan, clock: Clock) -> None:
+        self._plan = plan
+        self._clock = clock
+        self._random = random.Random(plan.random_state)
+        self._samples: list[Sample] = []
+        self._violations: list[Violation] = []
+
+    async def run(self) -> LoadReport:
+        """Create the tables, send the load, and compare the tables with the answers."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as client:
+            await self._create_tables(client)
+            sessions = [
+                _Session(load, f"{load.workspace}-{number}")
+                for load in self._plan.workspaces
+                for number in range(load.n_sessions)
+            ]
+            async with asyncio.TaskGroup() as group:
+                for session in sessions:
+                    group.create_task(self._serve_session(client, session))
+                for load in self._plan.workspaces:
+                    own = [item for item in sessions if item.load is load]
+                    group.create_task(self._send_arrivals(load, own))
+            await self._check_contents(client, sessions)
+        return LoadReport(
+            samples=tuple(self._samples), violations=tuple(self._violations)
+        )
+
+    async def _create_tables(self, client: aiohttp.ClientSession) -> None:
+        for load in self._plan.workspaces:
+            for _ in range(50):
+                status, _, _ = await self._post(client, load, CREATE_SQL, [], {})
+                if status == 200:
+                    break
+                await self._clock.sleep(0.2)
+
+    async def _send_arrivals(
+        self, load: WorkspaceLoad, sessions: Sequence[_Session]
+    ) -> None:
+        rng = random.Random(f"{self._plan.random_state}/{load.workspace}")
+        begin = self._clock.now()
+        due = begin
+        while True:
+            due += rng.expovariate(load.rate_per_second)
+            if due - begin > self._plan.duration_seconds:
+                break
+            delay = due - self._clock.now()
+            if delay > 0:
+                await self._clock.sleep(delay)
+            rng.choice(sessions).arrivals.put_nowait(due)
+        for session in sessions:
+            session.arrivals.put_nowait(None)
+
+    async def _serve_session(
+        self, client: aiohttp.ClientSession, session: _Session
+    ) -> None:
+        rng = random.Random(f"{self._plan.random_state}/{session.name}")
+        while (due := await session.arrivals.get()) is not None:
+            if rng.random() < session.load.read_share:
+                is_stale = rng.random() < session.load.stale_share
+                await self._read(client, session, due, is_stale)
+            else:
+                await self._write(client, session, due)
+
+    async def _read(
+        self,
+        client: aiohttp.ClientSession,
+        session: _Session,
+        due: float,
+        is_stale: bool,
+    ) -> None:
+        headers = {"Session-Token": session.token} if session.token else {}
+        if is_stale:
+            headers["Accept-Staleness"] = str(session.load.staleness_seconds)
+        status, document, _ = await self._post(
+            client, session.load, READ_SQL, [session.name], headers
+        )
+        self._record(session, due, True, status, document)
+        if status != 200:
+            return
+        number = document["rows"][0][0] or 0
+        if number < session.last_acknowledged:
+            self._report(
+                "read-your-writes",
+                session,
+                f"read {number} after {session.last_acknowledged} was acknowledged",
+            )
+
+    async def _write(
+        self, client: aiohttp.ClientSession, session: _Session, due: float
+    ) -> None:
+        session.last_number += 1
+        number = session.last_number
+        headers = {"Session-Token": session.token} if session.token else {}
+        if self._plan.with_idempotency_keys:
+            headers["Idempotency-Key"] = f"{session.name}/{number}"
+        parameters = [session.name, number]
+        status, document, token = await self._post(
+            client, session.load, INSERT_SQL, parameters, headers
+        )
+        if self._plan.with_idempotency_keys and document["outcome"] == "unknown":
+            status, document, token = await self._post(
+                client, session.load, INSERT_SQL, parameters, headers
+            )
+            if document["outcome"] == "not run":
+                # The first attempt may have run all the same.
+                document = {**document, "outcome": "unknown"}
+        self._record(session, due, False, status, document)
+        session.outcomes[number] = str(document["outcome"])
+        if token:
+            session.token = token
+        if status == 200:
+            session.last_acknowledged = number
+
+    async def _post(
+        self,
+        client: aiohttp.ClientSession,
+        load: WorkspaceLoad,
+        sql: str,
+        parameters: Sequence[object],
+        headers: Mapping[str, str],
+    ) -> tuple[int, dict, str]:
+        url = self._random.choice(self._plan.urls)
+        timeout = self._plan.request_timeout_seconds
+        all_headers = {
+            "Authorization": f"Bearer {load.key}",
+            "Request-Timeout": str(timeout),
+            **headers,
+        }
+        try:
+            async with client.post(
+                f"{url}/v1/statement",
+                json={"sql": sql, "parameters": list(parameters)},
+                headers=all_headers,
+                timeout=aiohttp.ClientTimeout(total=timeout + 2),
+            ) as response:
+                token = response.headers.get("Session-Token", "")
+                return response.status, await response.json(), token
+        except aiohttp.ClientConnectorError:
+            return 0, {"error": "connection", "outcome": "not run"}, ""
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, {"error": "connection", "outcome": "unknown"}, ""
+
+    def _record(
+        self, session: _Session, due: float, is_read: bool, status: int, document: dict
+    ) -> None:
+        self._samples.append(
+            Sample(
+                workspace=session.load.workspace,
+                started_at=due,
+                latency_seconds=self._clock.now() - due,
+                is_read=is_read,
+                from_replica=bool(document.get("replica", False)),
+                error="" if status == 200 else str(document["error"]),
+                outcome=str(document["outcome"]),
+            )
+        )
+
+    def _report(self, promise: str, session: _Session, detail: str) -> None:
+        self._violations.append(
+            Violation(
+                promise=promise,
+                workspace=session.load.workspace,
+                session=session.name,
+                detail=detail,
+            )
+        )
+
+    async def _check_contents(
+        self, client: aiohttp.ClientSession, sessions: Sequence[_Session]
+    ) -> None:
+        for load in self._plan.workspaces:
+            document: dict = {}
+            for _ in range(50):
+                status, document, _ = await self._post(
+                    client, load, CONTENT_SQL, [], {}
+                )
+                if status == 200:
+                    break
+                await self._clock.sleep(0.2)
+            counts: dict[str, Counter[int]] = defaultdict(Counter)
+            for name, number, count in document.get("rows", []):
+                counts[name][number] = count
+            for session in sessions:
+                if session.load is load:
+                    self._check_session(session, counts[session.name])
+
+    def _check_session(self, session: _Session, counts: Counter[int]) -> None:
+        for number, outcome in session.outcomes.items():
+            if outcome == "done" and counts[number] == 0:
+                self._report("no acknowledged write lost", session, f"{number}")
+            if outcome == "not run" and counts[number] > 0:
+                self._report("not run is true", session, f"{number}")
+            if counts[number] > 1:
+                self._report("at most once", session, f"{number}: {counts[number]}")
+
+
+def make_histogram(samples: Sequence[Sample]) -> HdrHistogram:
+    """:returns: latencies of answered requests in microseconds."""
+    histogram = HdrHistogram(
+        _LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _SIGNIFICANT_DIGITS
+    )
+    for sample in samples:
+        if not sample.error:
+            histogram.record_value(max(1, round(sample.latency_seconds * 1e6)))
+    return histogram
