Add the database group and the platform's store in memory

Cause: decision tests need a group with terms, fences, replication and idempotency, and a store with versions, watches and faults, both without sockets.

A transaction works on a copy of its workspace, so readers see no uncommitted change; shared SQLite connections were ruled out because readers on the same connection would see it.

msgspec refuses unions of str and bytes, so SqlValue is Any at run time.

--- /dev/null
+++ b/src/sardinemill/adapters/memory_store.py
@@ -0,0 +1,77 @@
+"""Store in this process, with the faults of the platform stand-in."""
+
+import asyncio
+from collections.abc import Awaitable, Sequence
+from typing import TypeVar
+
+from ..control import InstanceInfo
+from ..emulator.platform import Platform
+from ..emulator.platform_service import PlatformService
+from ..errors import StoreUnavailable
+from ..interfaces import Clock, StoreObject
+from .clocks import SystemClock
+
+CALL_TIMEOUT_SECONDS = 1.0
+
+T = TypeVar("T")
+
+
+class MemoryStore:
+    """One data centre's view of a platform in memory.
+
+    :param service: shared by the stores of several data centres; faults are set on its
+        ``platform``.
+    """
+
+    def __init__(
+        self,
+        service: PlatformService | None = None,
+        *,
+        data_centre: str = "",
+        clock: Clock | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
+        if service is None:
+            service = PlatformService(Platform(), clock or SystemClock())
+        self.service = service
+        self._data_centre = data_centre
+        self._timeout_seconds = timeout_seconds
+
+    @property
+    def platform(self) -> Platform:
+        """State and fault switches."""
+        return self.service.platform
+
+    async def get(self, name: str) -> StoreObject:
+        return await self._limit(self.service.get(name, self._data_centre))
+
+    async def put(self, name: str, value: bytes, *, expected_version: int) -> int:
+        return await self._limit(
+            self.service.put(name, value, expected_version, self._data_centre)
+        )
+
+    async def delete(self, name: str, *, expected_version: int) -> None:
+        await self._limit(
+            self.service.delete(name, expected_version, self._data_centre)
+        )
+
+    async def list_names(self, prefix: str) -> Sequence[str]:
+        return await self._limit(self.service.list_names(prefix, self._data_centre))
+
+    async def watch(
+        self, name: str, *, after_version: int, timeout_seconds: float
+    ) -> StoreObject:
+        return await self._limit(
+            self.service.watch(name, after_version, timeout_seconds, self._data_centre),
+            timeout_seconds,
+        )
+
+    async def list_instances(self) -> Sequence[InstanceInfo]:
+        return await self._limit(self.service.list_instances(self._data_centre))
+
+    async def _limit(self, call: Awaitable[T], extra_seconds: float = 0.0) -> T:
+        try:
+            async with asyncio.timeout(self._timeout_seconds + extra_seconds):
+                return await call
+        except TimeoutError as error:
+            raise StoreUnavailable("the store did not answer", step="store") from error
--- /dev/null
+++ b/src/sardinemill/adapters/store_task.py
@@ -0,0 +1,124 @@
+"""Makes store calls for one filter and hands back one reply for each."""
+
+import asyncio
+
+from ..control import InstanceInfo, StoreCall, StoreFailure, StoreOperation, StoreReply
+from ..errors import StoreConflict, StoreError
+from ..interfaces import Clock, Outlet, Store
+
+# Watches stay pending for seconds, so several calls must overlap.
+N_CALLS = 64
+
+
+class StoreTask:
+    """Owner of the store calls of one filter.
+
+    :param sink: receives one :class:`StoreReply` for each accepted :class:`StoreCall`.
+    :param n_calls: calls in progress above which a call fails at once.
+    """
+
+    def __init__(
+        self, store: Store, sink: Outlet, clock: Clock, *, n_calls: int = N_CALLS
+    ) -> None:
+        self._store = store
+        self._sink = sink
+        self._clock = clock
+        self._n_calls = n_calls
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopped = False
+
+    def offer(self, message: object) -> bool:
+        """Accept a call; a refused one is answered ``UNAVAILABLE``."""
+        if not isinstance(message, StoreCall):
+            return True
+        if self._is_stopped or len(self._tasks) >= self._n_calls:
+            self._reply(message, StoreFailure.UNAVAILABLE, self._clock.now())
+            return True
+        task = asyncio.create_task(
+            self._serve(message), name=f"store {message.operation} {message.call_id}"
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def start(self) -> None:
+        """Nothing to acquire; calls may come as soon as a loop runs."""
+
+    async def drain(self) -> None:
+        """Nothing to do: leases are released by calls until the stop."""
+
+    async def stop(self) -> None:
+        """Cancel the calls in progress; they get no reply."""
+        self._is_stopped = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(self, call: StoreCall) -> None:
+        asked_at = self._clock.now()
+        try:
+            reply = await self._call(call, asked_at)
+        except StoreConflict as error:
+            self._reply(call, StoreFailure.CONFLICT, asked_at, error.current_version)
+        except (StoreError, TimeoutError):
+            self._reply(call, StoreFailure.UNAVAILABLE, asked_at)
+        else:
+            self._sink.offer(reply)
+
+    def _reply(
+        self,
+        call: StoreCall,
+        failure: StoreFailure,
+        asked_at: float,
+        version: int = 0,
+    ) -> None:
+        self._sink.offer(
+            StoreReply(call=call, failure=failure, asked_at=asked_at, version=version)
+        )
+
+    async def _call(self, call: StoreCall, asked_at: float) -> StoreReply:
+        # The store ends a watch itself and limits the wait for its answer.
+        if call.operation is StoreOperation.WATCH:
+            watched = await self._store.watch(
+                call.name,
+                after_version=call.after_version,
+                timeout_seconds=call.timeout_seconds,
+            )
+            return StoreReply(
+                call=call,
+                failure=None,
+                asked_at=asked_at,
+                version=watched.version,
+                value=watched.value,
+            )
+        async with asyncio.timeout(call.timeout_seconds):
+            return await self._call_once(call, asked_at)
+
+    async def _call_once(self, call: StoreCall, asked_at: float) -> StoreReply:
+        store = self._store
+        version, value = 0, b""
+        names: tuple[str, ...] = ()
+        instances: tuple[InstanceInfo, ...] = ()
+        if call.operation is StoreOperation.GET:
+            found = await store.get(call.name)
+            version, value = found.version, found.value
+        elif call.operation is StoreOperation.PUT:
+            version = await store.put(
+                call.name, call.value, expected_version=call.expected_version
+            )
+        elif call.operation is StoreOperation.DELETE:
+            await store.delete(call.name, expected_version=call.expected_version)
+        elif call.operation is StoreOperation.LIST_NAMES:
+            names = tuple(await store.list_names(call.name))
+        else:
+            instances = tuple(await store.list_instances())
+        return StoreReply(
+            call=call,
+            failure=None,
+            asked_at=asked_at,
+            version=version,
+            value=value,
+            names=names,
+            instances=instances,
+        )
--- /dev/null
+++ b/src/sardinemill/emulator/database.py
@@ -0,0 +1,332 @@
+"""State machine of one database of a group: tables, transactions, idempotency.
+
+It has no sockets and no clock.
+"""
+
+from dataclasses import dataclass, field
+
+from ..control import (
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
+from ..errors import (
+    IdempotencyKeyReused,
+    StatementError,
+    TransactionClosed,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamFenced,
+)
+from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
+from ..positions import LogPosition
+from .log import AppendAnswer, AppendOrder, LogEntry
+from .member import GroupMember
+from .workspaces import (
+    Access,
+    LoggedStatement,
+    ResultSet,
+    WorkspaceData,
+    make_record_statements,
+)
+
+TRANSACTION_IDLE_SECONDS = 15.0
+IDEMPOTENCY_KEPT_SECONDS = 24 * 3600.0
+
+
+@dataclass(slots=True)
+class _Transaction:
+    """Open transaction; it works on a copy, so readers never see its changes."""
+
+    workspace: str
+    data: WorkspaceData
+    last_used: float
+    statements: list[LoggedStatement] = field(default_factory=list)
+
+
+class Database:
+    """One database of a group.
+
+    :param incarnation: differs after each restart, since the data is in memory.
+    :param is_initial_primary: starts a new group as primary of term 1.
+    """
+
+    def __init__(
+        self, name: str, group: str, incarnation: str, *, is_initial_primary: bool
+    ) -> None:
+        self.name = name
+        self.member = GroupMember(
+            name, group, incarnation, is_initial_primary=is_initial_primary
+        )
+        self.n_diverged = 0
+        self._workspaces: dict[str, WorkspaceData] = {}
+        self._transactions: dict[int, _Transaction] = {}
+
+    @property
+    def position(self) -> LogPosition:
+        """Last entry of the log."""
+        return self.member.position
+
+    @property
+    def fenced_term(self) -> int:
+        """Highest term that this database accepted."""
+        return self.member.fenced_term
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this database accepts writes."""
+        return self.member.is_primary
+
+    def report(self) -> DatabaseReport:
+        """Describe the present state."""
+        return self.member.report()
+
+    def fence(self, order: FenceOrder) -> FenceAnswer:
+        """Fence the member; a new term rolls back all open transactions."""
+        answer = self.member.fence(order)
+        self._discard_superseded()
+        return answer
+
+    def promote(self, order: PromoteOrder) -> PromoteAnswer:
+        """See :meth:`GroupMember.promote`."""
+        return self.member.promote(order)
+
+    def append(self, order: AppendOrder) -> AppendAnswer:
+        """Take entries of a primary and apply them to the tables."""
+        result = self.member.append(order)
+        self._discard_superseded()
+        removed = {entry.workspace for entry in result.removed}
+        self._rebuild(removed, len(result.added))
+        for entry in result.added:
+            self._apply(entry)
+        return result.answer
+
+    def _discard_superseded(self) -> None:
+        if not self.is_primary:
+            for connection in list(self._transactions):
+                self._discard(connection)
+
+    def _rebuild(self, workspaces: set[str], n_unapplied: int) -> None:
+        """Replay the log for workspaces that lost entries."""
+        for workspace in workspaces:
+            data = self._workspaces.pop(workspace, None)
+            if data is not None:
+                data.close()
+        if workspaces:
+            entries = self.member.entries
+            for entry in entries[: len(entries) - n_unapplied]:
+                if entry.workspace in workspaces:
+                    self._apply(entry)
+
+    def _apply(self, entry: LogEntry) -> None:
+        if not entry.statements:
+            return
+        try:
+            self._open_workspace(entry.workspace).apply(entry.statements)
+        except StatementError:
+            # Only a statement that is not deterministic fails here; it must not stop
+            # the replication of the others.
+            self.n_diverged += 1
+
+    def _open_workspace(self, workspace: str) -> WorkspaceData:
+        data = self._workspaces.get(workspace)
+        if data is None:
+            data = self._workspaces[workspace] = WorkspaceData()
+        return data
+
+    # Statements and transactions
+
+    def run(self, connection: int, call: UpstreamCall, now: float) -> UpstreamResult:
+        """Run one call of a connection.
+
+        :param connection: number of the connection, for its transaction.
+        :param now: seconds; the same clock for the whole group.
+        :raises UpstreamError: with outcome *not run*; nothing was changed.
+        """
+        if call.action is Action.ROLLBACK:
+            self._find_transaction(connection, call)
+            self._discard(connection)
+            return self._make_result(call, ResultSet())
+        if call.action is Action.COMMIT:
+            return self._commit(connection, call, now)
+        if call.action is Action.BEGIN:
+            return self._begin(connection, call, now)
+        if call.statement is None:
+            raise StatementError("the call has no statement", step="run")
+        if call.action is Action.TRANSACTION_STATEMENT:
+            return self._run_in_transaction(connection, call, now)
+        if call.statement.kind is StatementKind.READ:
+            return self._read(call)
+        return self._write(call, now)
+
+    def is_locked(self, connection: int, workspace: str) -> bool:
+        """Tell whether a transaction of another connection holds the write lock."""
+        return any(
+            transaction.workspace == workspace and holder != connection
+            for holder, transaction in self._transactions.items()
+        )
+
+    def close_connection(self, connection: int) -> None:
+        """Roll back what the connection has open."""
+        self._discard(connection)
+
+    def expire_transactions(self, now: float) -> None:
+        """Roll back transactions that were idle for too long."""
+        for connection, transaction in list(self._transactions.items()):
+            if now - transaction.last_used >= TRANSACTION_IDLE_SECONDS:
+                self._discard(connection)
+
+    def _discard(self, connection: int) -> None:
+        transaction = self._transactions.pop(connection, None)
+        if transaction is not None:
+            transaction.data.close()
+
+    def _check_position(self, call: UpstreamCall) -> None:
+        if self.position < call.minimum_position:
+            raise UpstreamError(
+                "the log is below the required position", step="read", peer=self.name
+            )
+
+    def _check_primary(self, call: UpstreamCall) -> None:
+        # Term 0 stands for whatever term is current.
+        if not self.is_primary or call.expected_term not in (0, self.fenced_term):
+            raise UpstreamFenced(
+                f"not the primary of term {call.expected_term}",
+                step="write",
+                peer=self.name,
+            )
+
+    def _check_lock(self, connection: int, workspace: str) -> None:
+        if self.is_locked(connection, workspace):
+            raise UpstreamBusy(
+                "the workspace is locked by a transaction", step="lock", peer=self.name
+            )
+
+    def _read(self, call: UpstreamCall) -> UpstreamResult:
+        self._check_position(call)
+        data = self._open_workspace(call.workspace)
+        return self._make_result(call, data.run(_get_statement(call), Access.READ))
+
+    def _write(self, call: UpstreamCall, now: float) -> UpstreamResult:
+        self._check_primary(call)
+        self._check_lock(-1, call.workspace)
+        data = self._open_workspace(call.workspace)
+        repeat = self._find_repeat(data, call)
+        if repeat is not None:
+            return repeat
+        statement = _get_statement(call)
+        result = data.run(statement, Access.WRITE)
+        return self._log_write(call, data, [statement], result, now)
+
+    def _begin(self, connection: int, call: UpstreamCall, now: float) -> UpstreamResult:
+        self._check_primary(call)
+        self._check_position(call)
+        self._check_lock(-1, call.workspace)
+        self._transactions[connection] = _Transaction(
+            workspace=call.workspace,
+            data=self._open_workspace(call.workspace).copy(),
+            last_used=now,
+        )
+        return self._make_result(call, ResultSet())
+
+    def _run_in_transaction(
+        self, connection: int, call: UpstreamCall, now: float
+    ) -> UpstreamResult:
+        self._check_primary(call)
+        transaction = self._find_transaction(connection, call)
+        transaction.last_used = now
+        statement = _get_statement(call)
+        assert call.statement is not None
+        if call.statement.kind is StatementKind.READ:
+            result = transaction.data.run(statement, Access.READ)
+        else:
+            result = transaction.data.run(statement, Access.WRITE)
+            transaction.statements.append(statement)
+        return self._make_result(call, result)
+
+    def _commit(
+        self, connection: int, call: UpstreamCall, now: float
+    ) -> UpstreamResult:
+        self._check_primary(call)
+        repeat = self._find_repeat(self._open_workspace(call.workspace), call)
+        if repeat is not None:
+            self._discard(connection)
+            return repeat
+        transaction = self._find_transaction(connection, call)
+        if not transaction.statements and call.idempotency_key is None:
+            self._discard(connection)
+            return self._make_result(call, ResultSet())
+        del self._transactions[connection]
+        self._workspaces[call.workspace].close()
+        self._workspaces[call.workspace] = transaction.data
+        return self._log_write(
+            call, transaction.data, transaction.statements, ResultSet(), now
+        )
+
+    def _find_transaction(self, connection: int, call: UpstreamCall) -> _Transaction:
+        transaction = self._transactions.get(connection)
+        if transaction is None or transaction.workspace != call.workspace:
+            raise TransactionClosed(
+                "no transaction is open", step="transaction", peer=self.name
+            )
+        return transaction
+
+    def _find_repeat(
+        self, data: WorkspaceData, call: UpstreamCall
+    ) -> UpstreamResult | None:
+        if call.idempotency_key is None:
+            return None
+        record = data.find_record(call.idempotency_key)
+        if record is None:
+            return None
+        if record.body_hash != call.body_hash:
+            raise IdempotencyKeyReused(
+                "the idempotency key belongs to another request",
+                step="write",
+                peer=self.name,
+            )
+        return self._make_result(call, record.result, is_repeat=True)
+
+    def _log_write(
+        self,
+        call: UpstreamCall,
+        data: WorkspaceData,
+        statements: list[LoggedStatement],
+        result: ResultSet,
+        now: float,
+    ) -> UpstreamResult:
+        logged = tuple(statements)
+        if call.idempotency_key is not None:
+            record = make_record_statements(
+                call.idempotency_key,
+                call.body_hash,
+                result,
+                now,
+                IDEMPOTENCY_KEPT_SECONDS,
+            )
+            data.apply(record)
+            logged += record
+        self.member.add(call.workspace, logged)
+        return self._make_result(call, result)
+
+    def _make_result(
+        self, call: UpstreamCall, result: ResultSet, *, is_repeat: bool = False
+    ) -> UpstreamResult:
+        return UpstreamResult(
+            call_id=call.call_id,
+            columns=result.columns,
+            rows=result.rows,
+            n_changed=result.n_changed,
+            position=self.position,
+            is_primary=self.is_primary,
+            is_repeat=is_repeat,
+        )
+
+
+def _get_statement(call: UpstreamCall) -> LoggedStatement:
+    assert call.statement is not None
+    return LoggedStatement(
+        sql=call.statement.sql, parameters=tuple(call.statement.parameters)
+    )
--- /dev/null
+++ b/src/sardinemill/emulator/member.py
@@ -0,0 +1,191 @@
+"""Terms, role and log of one member of a database group.
+
+The rules are those of section 7 of the design page; the election itself is the
+orderer's, and the argument is that of Raft.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..control import (
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+    Role,
+)
+from ..positions import ORIGIN, LogPosition
+from .log import AppendAnswer, AppendOrder, LogEntry, ReplicatedLog
+from .workspaces import LoggedStatement
+
+INITIAL_ORDERER = "initial"
+# Bounds one replication message; a statement may itself be up to 1 MB.
+N_ENTRIES_PER_APPEND = 256
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AppendResult:
+    """Answer to an append and what it changed.
+
+    :param removed: entries truncated from the end of the log.
+    :param added: entries appended after them.
+    """
+
+    answer: AppendAnswer
+    removed: Sequence[LogEntry] = ()
+    added: Sequence[LogEntry] = ()
+
+
+class GroupMember:
+    """Consensus state of one database.
+
+    :param incarnation: differs after each restart, since the log is in memory.
+    :param is_initial_primary: starts a new group as primary of term 1.
+    """
+
+    def __init__(
+        self, name: str, group: str, incarnation: str, *, is_initial_primary: bool
+    ) -> None:
+        self.name = name
+        self.is_leaving = False
+        self._group = group
+        self._incarnation = incarnation
+        self._log = ReplicatedLog()
+        self._role = Role.REPLICA
+        self._fenced_term = 0
+        self._orderer = ""
+        self._is_superseded = False
+        self._first_position = ORIGIN
+        if is_initial_primary:
+            self._enter_term(1, INITIAL_ORDERER)
+            self._become_primary()
+
+    @property
+    def position(self) -> LogPosition:
+        """Last entry of the log."""
+        return self._log.last
+
+    @property
+    def entries(self) -> Sequence[LogEntry]:
+        """All entries of the log."""
+        return self._log.entries
+
+    @property
+    def fenced_term(self) -> int:
+        """Highest term that this member accepted."""
+        return self._fenced_term
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this member accepts writes."""
+        return self._role is Role.PRIMARY
+
+    def report(self) -> DatabaseReport:
+        """Describe the present state."""
+        return DatabaseReport(
+            group=self._group,
+            database=self.name,
+            role=self._role,
+            fenced_term=self._fenced_term,
+            position=self.position,
+            incarnation=self._incarnation,
+            is_leaving=self.is_leaving,
+        )
+
+    def fence(self, order: FenceOrder) -> FenceAnswer:
+        """Stop commits and log entries of terms below the order's.
+
+        A repeat by the same orderer changes nothing, so a late one does not stop a
+        primary that it promoted meanwhile.
+        """
+        if order.term > self._fenced_term:
+            self._enter_term(order.term, order.orderer)
+        return FenceAnswer(
+            group=self._group,
+            database=self.name,
+            term=order.term,
+            accepted=self._is_fenced_by(order),
+            fenced_term=self._fenced_term,
+            position=self.position,
+        )
+
+    def promote(self, order: PromoteOrder) -> PromoteAnswer:
+        """Become primary of the term for which this member is fenced.
+
+        :returns: the position of the first entry of the term, also on a repeat.
+        """
+        accepted = self._is_fenced_by(order) and not self._is_superseded
+        if accepted and not self.is_primary:
+            self._become_primary()
+        return PromoteAnswer(
+            group=self._group,
+            database=self.name,
+            term=order.term,
+            accepted=accepted,
+            fenced_term=self._fenced_term,
+            position=self._first_position if accepted else self.position,
+        )
+
+    def add(self, workspace: str, statements: tuple[LoggedStatement, ...]) -> LogEntry:
+        """Append an entry of this primary's own term."""
+        return self._log.add(self._fenced_term, workspace, statements)
+
+    def make_append(self, next_offset: int, last_offset: int) -> AppendOrder:
+        """Make the message that brings a replica forward.
+
+        :param next_offset: offset of the first entry that the replica lacks.
+        :param last_offset: offset of the last entry to send.
+        """
+        n_entries = max(0, min(last_offset - next_offset + 1, N_ENTRIES_PER_APPEND))
+        previous = self._log.find_position(next_offset - 1)
+        assert previous is not None
+        return AppendOrder(
+            source=self.name,
+            term=self._fenced_term,
+            orderer=self._orderer,
+            previous=previous,
+            entries=self._log.read(next_offset - 1, n_entries),
+        )
+
+    def append(self, order: AppendOrder) -> AppendResult:
+        """Take entries of a primary whose term is not below the fenced term."""
+        is_stale = order.term < self._fenced_term
+        if is_stale or (order.term == self._fenced_term and self.is_primary):
+            return self._answer(False, self.position.offset + 1)
+        if order.term > self._fenced_term:
+            self._enter_term(order.term, order.orderer)
+        self._is_superseded = True
+        if self._log.find_position(order.previous.offset) != order.previous:
+            return self._answer(False, self._log.find_next_offset(order.previous))
+        removed, added = self._log.splice(order.entries)
+        next_offset = order.previous.offset + len(order.entries) + 1
+        return self._answer(True, next_offset, removed, added)
+
+    def _answer(
+        self,
+        accepted: bool,
+        next_offset: int,
+        removed: Sequence[LogEntry] = (),
+        added: Sequence[LogEntry] = (),
+    ) -> AppendResult:
+        answer = AppendAnswer(
+            accepted=accepted,
+            fenced_term=self._fenced_term,
+            position=self.position,
+            next_offset=next_offset,
+        )
+        return AppendResult(answer=answer, removed=removed, added=added)
+
+    def _is_fenced_by(self, order: FenceOrder | PromoteOrder) -> bool:
+        return (order.term, order.orderer) == (self._fenced_term, self._orderer)
+
+    def _enter_term(self, term: int, orderer: str) -> None:
+        self._fenced_term = term
+        self._orderer = orderer
+        self._role = Role.REPLICA
+        self._is_superseded = False
+
+    def _become_primary(self) -> None:
+        self._role = Role.PRIMARY
+        self._first_position = self.add("", ()).position
--- a/src/sardinemill/errors.py
+++ b/src/sardinemill/errors.py
@@ -88,6 +88,10 @@
     code = "store unavailable"
 
 
+class StoreAnswerLost(StoreUnavailable):
+    """An update took effect in the stand-in, and its answer is dropped on purpose."""
+
+
 class UpstreamError(SardinemillError):
     """An upstream refused or failed a call."""
 
@@ -116,3 +120,15 @@
     """The database rejected the SQL of a statement."""
 
     code = "statement"
+
+
+class IdempotencyKeyReused(UpstreamError):
+    """The idempotency key was used before with another request body."""
+
+    code = "idempotency key reused"
+
+
+class TransactionClosed(UpstreamError):
+    """The connection has no open transaction, or it was rolled back."""
+
+    code = "transaction closed"
--- a/src/sardinemill/messages.py
+++ b/src/sardinemill/messages.py
@@ -2,11 +2,16 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import TYPE_CHECKING, Any
 
 from .errors import Outcome
 from .positions import ORIGIN, LogPosition, SessionPosition
 
-SqlValue = None | bool | int | float | str | bytes
+if TYPE_CHECKING:
+    SqlValue = None | bool | int | float | str | bytes
+else:
+    # msgspec decodes no union of str and bytes; MessagePack itself keeps them apart.
+    SqlValue = Any
 
 
 class StatementKind(StrEnum):
