--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -23,6 +23,7 @@
         control.Loan,
         control.LoanReturn,
         control.PrimaryChanged,
+        control.PrimaryOpinion,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -133,6 +133,21 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrimaryOpinion:
+    """What one home of a group thinks of the group's primary.
+
+    :param is_suspected: whether the observer itself hears nothing from the database.
+    :param wants_answer: asks the receiver for its own opinion.
+    """
+
+    group: str
+    database: str
+    observer: str
+    is_suspected: bool
+    wants_answer: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupsChanged:
     """Groups whose home this instance is, with the instances ranked as homes.
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -34,6 +34,21 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 3xx databases and failover
+    PRIMARY_SUSPECTED = EventKind(
+        301, "warning", "Detect: a group's primary is suspected, or there is none."
+    )
+    FENCE_STARTED = EventKind(302, "warning", "Fence: all databases get a new term.")
+    FENCE_COMPLETED = EventKind(303, "info", "Fence: a majority of slots is fenced.")
+    PRIMARY_CHOSEN = EventKind(
+        304, "info", "Choose: the database with the highest position is promoted."
+    )
+    PRIMARY_PROMOTED = EventKind(305, "warning", "Promote: the database is primary.")
+    PRIMARY_LEARNED = EventKind(306, "info", "Learn: a primary of a higher term.")
+    FAILOVER_ABANDONED = EventKind(
+        307, "warning", "An attempt at failover ended without a new primary."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
--- /dev/null
+++ b/src/sardinemill/filters/detection.py
@@ -0,0 +1,199 @@
+"""Detectors of failed databases, by the times at which their reports arrive."""
+
+import math
+from collections import deque
+from collections.abc import Collection
+from typing import Protocol
+
+from ..control import PrimaryOpinion
+
+TIMEOUT_SECONDS = 1.0
+# Opinions older than this no longer count; suspicious homes repeat theirs at every
+# probe.
+OPINION_LIFETIME_SECONDS = 1.0
+# Time for the other homes to answer, several round trips between data centres.
+OPINION_WAIT_SECONDS = 0.2
+# Suspicion level: at 8 the silence would occur once in 10**8 intervals.
+PHI_THRESHOLD = 8.0
+N_INTERVALS = 100
+# The model needs some intervals before it is worth more than the fixed time-out.
+N_FIRST_INTERVALS = 10
+# Lower bound of the deviation. Without it a calm network would turn the first late
+# report into a suspicion.
+MIN_DEVIATION_SECONDS = 0.1
+
+
+class FailureDetector(Protocol):
+    """Decides from the reports of a database whether it has failed."""
+
+    def record_report(self, database: str, received_at: float) -> None:
+        """Take the arrival of a report."""
+        ...
+
+    def record_opinion(self, opinion: PrimaryOpinion, now: float) -> None:
+        """Take the opinion of another home of the database's group."""
+        ...
+
+    def has_doubt(self, database: str, now: float) -> bool:
+        """Tell whether this home by itself suspects the database."""
+        ...
+
+    def is_suspected(self, database: str, now: float) -> bool:
+        """Tell whether the database is to be replaced."""
+        ...
+
+    def restart(self, databases: Collection[str], now: float) -> None:
+        """Begin anew, as if each database had reported now.
+
+        Called for a new primary, and after a pause of this process, whose own silence
+        says nothing about the databases.
+        """
+        ...
+
+
+class TimeoutDetector:
+    """Suspects a database that has not reported for a fixed time.
+
+    :param timeout_seconds: greatest accepted silence.
+    """
+
+    def __init__(self, timeout_seconds: float = TIMEOUT_SECONDS) -> None:
+        self._timeout_seconds = timeout_seconds
+        self._heard_at: dict[str, float] = {}
+
+    def record_report(self, database: str, received_at: float) -> None:
+        heard_at = self._heard_at.get(database, received_at)
+        self._heard_at[database] = max(heard_at, received_at)
+
+    def record_opinion(self, opinion: PrimaryOpinion, now: float) -> None:
+        """Opinions have no weight here."""
+
+    def has_doubt(self, database: str, now: float) -> bool:
+        heard_at = self._heard_at.setdefault(database, now)
+        return now - heard_at > self._timeout_seconds
+
+    def is_suspected(self, database: str, now: float) -> bool:
+        return self.has_doubt(database, now)
+
+    def restart(self, databases: Collection[str], now: float) -> None:
+        for database in databases:
+            self._heard_at[database] = now
+
+
+class ObserverDetector:
+    """Suspects a database when more homes than not hear nothing from it.
+
+    Only homes that give an opinion count, so homes that have failed themselves don't
+    prevent a failover.
+
+    :param local: detector of this home's own doubt.
+    """
+
+    def __init__(
+        self,
+        local: FailureDetector,
+        *,
+        wait_seconds: float = OPINION_WAIT_SECONDS,
+        lifetime_seconds: float = OPINION_LIFETIME_SECONDS,
+    ) -> None:
+        self._local = local
+        self._wait_seconds = wait_seconds
+        self._lifetime_seconds = lifetime_seconds
+        self._doubt_since: dict[str, float] = {}
+        self._opinions: dict[str, dict[str, tuple[float, bool]]] = {}
+
+    def record_report(self, database: str, received_at: float) -> None:
+        self._local.record_report(database, received_at)
+
+    def record_opinion(self, opinion: PrimaryOpinion, now: float) -> None:
+        opinions = self._opinions.setdefault(opinion.database, {})
+        opinions[opinion.observer] = (now, opinion.is_suspected)
+
+    def has_doubt(self, database: str, now: float) -> bool:
+        has_doubt = self._local.has_doubt(database, now)
+        if has_doubt:
+            self._doubt_since.setdefault(database, now)
+        else:
+            self._doubt_since.pop(database, None)
+        return has_doubt
+
+    def is_suspected(self, database: str, now: float) -> bool:
+        if not self.has_doubt(database, now):
+            return False
+        if now - self._doubt_since[database] < self._wait_seconds:
+            return False
+        votes = [
+            is_suspected
+            for at, is_suspected in self._opinions.get(database, {}).values()
+            if now - at <= self._lifetime_seconds
+        ]
+        n_for = 1 + sum(votes)
+        return n_for > len(votes) + 1 - n_for
+
+    def restart(self, databases: Collection[str], now: float) -> None:
+        self._local.restart(databases, now)
+        for database in databases:
+            self._doubt_since.pop(database, None)
+            self._opinions.pop(database, None)
+
+
+class AccrualDetector:
+    """Suspects a database when its silence is improbable for its report intervals.
+
+    Source: N. Hayashibara, X. Defago, R. Yared, T. Katayama, "The phi accrual failure
+    detector", SRDS 2004. Intervals are taken as normally distributed.
+
+    :param threshold: level phi above which a database is suspected.
+    :param first: detector in use until enough intervals are known.
+    """
+
+    def __init__(
+        self,
+        *,
+        threshold: float = PHI_THRESHOLD,
+        first: FailureDetector | None = None,
+    ) -> None:
+        self._threshold = threshold
+        self._first = TimeoutDetector() if first is None else first
+        self._heard_at: dict[str, float] = {}
+        self._intervals: dict[str, deque[float]] = {}
+
+    def record_report(self, database: str, received_at: float) -> None:
+        self._first.record_report(database, received_at)
+        heard_at = self._heard_at.get(database)
+        if heard_at is not None:
+            if received_at <= heard_at:
+                return
+            intervals = self._intervals.setdefault(database, deque(maxlen=N_INTERVALS))
+            intervals.append(received_at - heard_at)
+        self._heard_at[database] = received_at
+
+    def record_opinion(self, opinion: PrimaryOpinion, now: float) -> None:
+        """Opinions have no weight here."""
+
+    def compute_phi(self, database: str, now: float) -> float | None:
+        """Return the suspicion level, or ``None`` while too little is known."""
+        intervals = self._intervals.get(database, ())
+        if len(intervals) < N_FIRST_INTERVALS:
+            return None
+        mean = math.fsum(intervals) / len(intervals)
+        variance = math.fsum((item - mean) ** 2 for item in intervals) / len(intervals)
+        deviation = max(math.sqrt(variance), MIN_DEVIATION_SECONDS)
+        silence = now - self._heard_at[database]
+        tail = 0.5 * math.erfc((silence - mean) / (deviation * math.sqrt(2.0)))
+        return -math.log10(max(tail, 1e-300))
+
+    def has_doubt(self, database: str, now: float) -> bool:
+        phi = self.compute_phi(database, now)
+        if phi is None:
+            return self._first.has_doubt(database, now)
+        return phi > self._threshold
+
+    def is_suspected(self, database: str, now: float) -> bool:
+        return self.has_doubt(database, now)
+
+    def restart(self, databases: Collection[str], now: float) -> None:
+        self._first.restart(databases, now)
+        for database in databases:
+            if database in self._heard_at:
+                self._heard_at[database] = now
--- /dev/null
+++ b/src/sardinemill/filters/positions_table.py
@@ -0,0 +1,292 @@
+"""What a home knows about the positions of one group's databases."""
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from ..control import DatabaseReport, PrimaryChanged, ReportFailure, Role
+from ..groups import GroupDescription
+from ..positions import ORIGIN, LogPosition, Watermark
+
+# Watermarks closer together than this replace each other; the history then covers a
+# minute of accepted staleness with 1,200 entries.
+WATERMARK_SPACING_SECONDS = 0.05
+N_WATERMARKS = 1200
+N_PRIMARY_POSITIONS = 256
+# Weight of the newest measurement in the smoothed replication lag.
+LAG_WEIGHT = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Primary:
+    """Primary of a group in one term."""
+
+    database: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseState:
+    """Last news of one database.
+
+    :param report: last report by the time at which it was asked for.
+    :param position: highest position known; may be ahead of the report.
+    :param lag_seconds: smoothed replication lag, ``None`` until measured.
+    :param failed_at: time of the last failed report or call.
+    """
+
+    report: DatabaseReport | None = None
+    position: LogPosition = ORIGIN
+    lag_seconds: float | None = None
+    failed_at: float = float("-inf")
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the database wants no new work."""
+        return self.report is not None and self.report.is_leaving
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last attempt to reach the database succeeded."""
+        return self.report is not None and self.report.received_at >= self.failed_at
+
+
+def is_active_primary(report: DatabaseReport) -> bool:
+    """Tell whether the database is a primary that no fence has superseded.
+
+    A primary begins its term with an entry of that term, so its last position has the
+    term of its own election; a later fence raises only the fenced term.
+    """
+    return report.role is Role.PRIMARY and report.fenced_term == report.position.term
+
+
+def derive_watermark(
+    group: GroupDescription, reports: dict[str, DatabaseReport]
+) -> Watermark | None:
+    """Find the latest watermark that a set of reports proves.
+
+    A write acknowledged in a higher term than the primary's was held, and that term's
+    fence accepted, by a majority; every majority of the reports would show that term.
+    A write acknowledged in the primary's term or below is in the primary's log.
+
+    :param reports: last report of each database.
+    :returns: the watermark that starts when the earliest of the needed reports was
+        asked for, or ``None`` without a primary that a majority confirms.
+    """
+    primaries = [item for item in reports.values() if is_active_primary(item)]
+    if not primaries:
+        return None
+    primary = max(primaries, key=lambda item: item.fenced_term)
+    term = primary.fenced_term
+    confirmations: dict[int, float] = {}
+    for database in group.databases:
+        report = reports.get(database.name)
+        if report is None or database.name == primary.database:
+            continue
+        if report.fenced_term <= term and report.position.term <= term:
+            asked_at = confirmations.get(database.slot, report.asked_at)
+            confirmations[database.slot] = max(asked_at, report.asked_at)
+    latest = sorted(confirmations.values(), reverse=True)[: group.n_majority - 1]
+    if len(latest) < group.n_majority - 1:
+        return None
+    return Watermark(min([primary.asked_at, *latest]), primary.position)
+
+
+def _merge_position(state: DatabaseState, report: DatabaseReport) -> LogPosition:
+    """A log shrinks only when its term changes or the database restarts."""
+    previous = state.report
+    is_same_log = (
+        previous is not None
+        and previous.incarnation == report.incarnation
+        and state.position.term == report.position.term
+    )
+    return max(state.position, report.position) if is_same_log else report.position
+
+
+class PositionsTable:
+    """Positions, roles and terms of the databases of one group, and its watermarks.
+
+    Known positions only guide the choice of a database; the position in the answer
+    decides whether the answer may be used.
+
+    :ivar primary: primary with the highest term, ``None`` while that is unknown.
+    """
+
+    def __init__(self, group: GroupDescription) -> None:
+        self.group = group
+        self.primary: Primary | None = None
+        self._highest_term = 0
+        self._invalid_since = float("-inf")
+        self._states = {item.name: DatabaseState() for item in group.databases}
+        self._watermarks: list[Watermark] = []
+        self._primary_positions: list[LogPosition] = []
+        self._primary_times: list[float] = []
+
+    def update_group(self, group: GroupDescription) -> None:
+        """Take a changed description; removed databases are forgotten."""
+        self.group = group
+        self._states = {
+            item.name: self._states.get(item.name, DatabaseState())
+            for item in group.databases
+        }
+        if self.primary is not None and self.primary.database not in self._states:
+            self.primary = None
+
+    def find_state(self, database: str) -> DatabaseState:
+        """Return the state of a database of the group."""
+        return self._states.get(database, DatabaseState())
+
+    def iterate_replicas(self) -> Iterator[tuple[str, DatabaseState]]:
+        """Yield databases other than the primary."""
+        for name, state in self._states.items():
+            if self.primary is None or name != self.primary.database:
+                yield name, state
+
+    def take_report(self, report: DatabaseReport) -> Watermark | None:
+        """Record a report.
+
+        :returns: the new watermark when the report proves a later one.
+        """
+        state = self._states.get(report.database)
+        if state is None:
+            return None
+        if state.report is not None and report.asked_at < state.report.asked_at:
+            return None
+        self._states[report.database] = replace(
+            state, report=report, position=_merge_position(state, report)
+        )
+        self._learn_role(report)
+        self._measure(report.database, report.position, report.received_at)
+        return self._extend_watermarks()
+
+    def take_failure(self, failure: ReportFailure) -> None:
+        """Record that a report call failed."""
+        self.mark_failed(failure.database, failure.failed_at)
+
+    def mark_failed(self, database: str, failed_at: float) -> None:
+        """Prefer other databases until this one reports again."""
+        state = self._states.get(database)
+        if state is not None:
+            self._states[database] = replace(
+                state, failed_at=max(failed_at, state.failed_at)
+            )
+
+    def take_result(
+        self, database: str, position: LogPosition, is_primary: bool, now: float
+    ) -> None:
+        """Record the position in the answer to a request."""
+        state = self._states.get(database)
+        if state is None:
+            return
+        self._states[database] = replace(state, position=max(position, state.position))
+        if is_primary and position.term > self._highest_term:
+            self._set_primary(Primary(database, position.term))
+        self._measure(database, position, now)
+
+    def take_primary(self, news: PrimaryChanged) -> bool:
+        """Record news of a primary.
+
+        :returns: whether its term is higher than all known ones.
+        """
+        if news.database not in self._states or news.term <= self._highest_term:
+            return False
+        self._set_primary(Primary(news.database, news.term))
+        return True
+
+    def mark_superseded(self, database: str, term: int, now: float) -> None:
+        """Forget a primary that refused a write; only a later report restores it."""
+        if self.primary == Primary(database, term):
+            self.primary = None
+            self._invalid_since = now
+
+    def find_watermark(self, started_at: float) -> Watermark | None:
+        """Return the lowest watermark that began at ``started_at`` or later."""
+        index = bisect_left(
+            self._watermarks, started_at, key=lambda item: item.started_at
+        )
+        return self._watermarks[index] if index < len(self._watermarks) else None
+
+    def estimate_catch_up(
+        self, database: str, requirement: LogPosition, now: float
+    ) -> float | None:
+        """Estimate the seconds until a replica holds ``requirement``.
+
+        :returns: ``None`` while the replica's lag is not known.
+        """
+        state = self.find_state(database)
+        if state.position >= requirement:
+            return 0.0
+        if state.lag_seconds is None:
+            return None
+        index = bisect_left(self._primary_positions, requirement)
+        known = index < len(self._primary_times)
+        written_at = self._primary_times[index] if known else now
+        return max(0.0, written_at + state.lag_seconds - now)
+
+    def _learn_role(self, report: DatabaseReport) -> None:
+        if is_active_primary(report):
+            is_restored = (
+                self.primary is None
+                and report.fenced_term == self._highest_term
+                and report.asked_at >= self._invalid_since
+            )
+            if report.fenced_term > self._highest_term or is_restored:
+                self._set_primary(Primary(report.database, report.fenced_term))
+        elif (
+            self.primary is not None
+            and self.primary.database == report.database
+            and report.fenced_term >= self.primary.term
+        ):
+            self.primary = None
+            self._invalid_since = report.asked_at
+
+    def _set_primary(self, primary: Primary) -> None:
+        self.primary = primary
+        self._highest_term = primary.term
+
+    def _extend_watermarks(self) -> Watermark | None:
+        reports = {
+            name: state.report
+            for name, state in self._states.items()
+            if state.report is not None
+        }
+        watermark = derive_watermark(self.group, reports)
+        history = self._watermarks
+        if watermark is None:
+            return None
+        if history and watermark.started_at <= history[-1].started_at:
+            return None
+        if (
+            len(history) > 1
+            and history[-1].started_at - history[-2].started_at
+            < WATERMARK_SPACING_SECONDS
+        ):
+            history.pop()
+        history.append(watermark)
+        if len(history) > 2 * N_WATERMARKS:
+            del history[:N_WATERMARKS]
+        return watermark
+
+    def _measure(self, database: str, position: LogPosition, seen_at: float) -> None:
+        if self.primary is not None and self.primary.database == database:
+            self._record_primary(position, seen_at)
+        else:
+            self._measure_lag(database, position, seen_at)
+
+    def _record_primary(self, position: LogPosition, seen_at: float) -> None:
+        if self._primary_positions and position <= self._primary_positions[-1]:
+            return
+        self._primary_positions.append(position)
+        self._primary_times.append(seen_at)
+        if len(self._primary_times) > 2 * N_PRIMARY_POSITIONS:
+            del self._primary_positions[:N_PRIMARY_POSITIONS]
+            del self._primary_times[:N_PRIMARY_POSITIONS]
+
+    def _measure_lag(self, database: str, position: LogPosition, at: float) -> None:
+        index = bisect_right(self._primary_positions, position)
+        missing = index < len(self._primary_times)
+        lag = max(0.0, at - self._primary_times[index]) if missing else 0.0
+        state = self._states[database]
+        if state.lag_seconds is not None:
+            lag = state.lag_seconds + LAG_WEIGHT * (lag - state.lag_seconds)
+        self._states[database] = replace(state, lag_seconds=lag)
--- /dev/null
+++ b/src/sardinemill/filters/primary_watch.py
@@ -0,0 +1,154 @@
+"""What the failover filter knows about one group, and when it acts on it."""
+
+from ..control import DatabaseReport
+from ..groups import GroupDescription, has_majority
+from .detection import FailureDetector
+from .positions_table import Primary, is_active_primary
+
+# A report counts as recent for three probe intervals.
+RECENT_SECONDS = 0.75
+# Time for another orderer to complete what it began.
+GRACE_SECONDS = 1.0
+# Silence of all replicas' logs behind a primary that writes. It leaves two of the 5 s
+# for a change of primary, and is long enough for replicas that only lag.
+STALL_SECONDS = 3.0
+
+
+class PrimaryWatch:
+    """Reports of one group's databases and the state of its primary.
+
+    :ivar primary: active primary of the highest term seen, or ``None``.
+    :ivar highest_term: highest term seen in any message.
+    """
+
+    def __init__(
+        self, group: GroupDescription, detector: FailureDetector, now: float
+    ) -> None:
+        self.group = group
+        self.primary: Primary | None = None
+        self.highest_term = 0
+        self._detector = detector
+        self._primary_term = 0
+        self._reports: dict[str, DatabaseReport] = {}
+        self._without_primary_since = now
+        self._superseded_since: float | None = None
+        self._progress_at = now
+
+    def take_report(self, report: DatabaseReport) -> bool:
+        """Record a report.
+
+        :returns: whether it shows a primary of a higher term.
+        """
+        self._detector.record_report(report.database, report.received_at)
+        previous = self._reports.get(report.database)
+        if previous is not None and report.asked_at < previous.asked_at:
+            return False
+        self._reports[report.database] = report
+        term = max(report.fenced_term, report.position.term)
+        self.highest_term = max(self.highest_term, term)
+        if previous is not None and previous.position != report.position:
+            self._record_progress(report)
+        is_new = self._learn(report)
+        self._check_superseded(report.received_at)
+        return is_new
+
+    def take_primary(self, primary: Primary, now: float) -> bool:
+        """Record news of a primary.
+
+        :returns: whether its term is higher than that of all known primaries.
+        """
+        self.highest_term = max(self.highest_term, primary.term)
+        if primary.term <= self._primary_term:
+            return False
+        self.primary = primary
+        self._primary_term = primary.term
+        self._superseded_since = None
+        self.restart(now)
+        return True
+
+    def restart(self, now: float) -> None:
+        """Forget how long anything has lasted."""
+        names = [item.name for item in self.group.databases]
+        self._detector.restart(names, now)
+        self._progress_at = now
+        self._without_primary_since = now
+        if self._superseded_since is not None:
+            self._superseded_since = now
+
+    def find_reason(self, now: float) -> str | None:
+        """Return why the group needs a new primary, or ``None``."""
+        if not has_majority(self.group, self._list_recent(now)):
+            # Without a majority no fence can succeed. Orders that arrive after the
+            # partition would only disturb a primary that is well.
+            return None
+        if self.primary is None:
+            has_waited = now - self._without_primary_since > GRACE_SECONDS
+            return "no primary" if has_waited else None
+        if self._detector.is_suspected(self.primary.database, now):
+            return "silent"
+        since = self._superseded_since
+        if since is not None and now - since > GRACE_SECONDS:
+            return "superseded"
+        report = self._reports.get(self.primary.database)
+        if report is not None and report.is_leaving:
+            return "leaving"
+        if self._is_stalled(now):
+            return "stalled"
+        return None
+
+    def list_leaving(self) -> list[str]:
+        """Databases that want no new work."""
+        return [name for name, item in self._reports.items() if item.is_leaving]
+
+    def _list_recent(self, now: float) -> list[str]:
+        return [
+            name
+            for name, report in self._reports.items()
+            if now - report.received_at <= RECENT_SECONDS
+        ]
+
+    def _learn(self, report: DatabaseReport) -> bool:
+        if is_active_primary(report):
+            primary = Primary(report.database, report.fenced_term)
+            if self.take_primary(primary, report.received_at):
+                return True
+            if self.primary is None and primary.term == self._primary_term:
+                self.primary = primary
+        elif (
+            self.primary is not None
+            and self.primary.database == report.database
+            and report.fenced_term >= self.primary.term
+        ):
+            self.primary = None
+            self._without_primary_since = report.received_at
+        return False
+
+    def _check_superseded(self, now: float) -> None:
+        term = self._primary_term
+        fenced = [
+            name for name, report in self._reports.items() if report.fenced_term > term
+        ]
+        if not has_majority(self.group, fenced):
+            self._superseded_since = None
+        elif self._superseded_since is None:
+            self._superseded_since = now
+
+    def _record_progress(self, report: DatabaseReport) -> None:
+        if self.primary is None or report.database != self.primary.database:
+            self._progress_at = report.received_at
+
+    def _is_stalled(self, now: float) -> bool:
+        assert self.primary is not None
+        written = self._reports.get(self.primary.database)
+        if written is None:
+            return False
+        holders = [
+            name
+            for name, report in self._reports.items()
+            if report.position >= written.position
+        ]
+        if has_majority(self.group, holders):
+            self._progress_at = now
+        others = set(self._list_recent(now)) - {self.primary.database}
+        has_others = has_majority(self.group, others)
+        return has_others and now - self._progress_at > STALL_SECONDS
--- /dev/null
+++ b/src/sardinemill/filters/routing.py
@@ -0,0 +1,398 @@
+"""Chooses the database of each request at its group's home.
+
+A read waits until a watermark covers its accepted staleness and goes to any database
+that holds the required position. Writes go to the primary, statements of a transaction
+to the database that ran its begin.
+"""
+
+import heapq
+from collections.abc import Sequence
+from dataclasses import replace
+
+from ..control import (
+    DatabaseLoad,
+    DatabaseReport,
+    GroupsChanged,
+    PrimaryChanged,
+    ReportFailure,
+    ReportQuery,
+)
+from ..errors import Outcome
+from ..interfaces import Emission
+from ..messages import (
+    Action,
+    Cancellation,
+    Execution,
+    RefusalCode,
+    Request,
+    RoutedRequest,
+)
+from ..positions import LogPosition
+from .held_requests import (
+    GroupState,
+    HeldRequest,
+    ask_all,
+    compute_retry_delay,
+    give_up,
+    is_upstream_failure,
+    refuse,
+    refuse_expired,
+)
+from .read_choice import (
+    REPLICA_WAIT_SECONDS,
+    LoadTable,
+    ReadChoice,
+    choose_for_read,
+)
+from .transactions import TransactionTable
+
+# Reports that have not come after this time are asked for again.
+ROUND_RETRY_SECONDS = 0.25
+# A read is tried on each of three databases and once more after a change of primary.
+N_READ_ATTEMPTS = 4
+# Least time between two questions to all databases after refused writes.
+ASK_SPACING_SECONDS = 0.02
+# Delay before a read is sent again to a database that failed it.
+READ_RETRY_SECONDS = 0.1
+
+
+class Routing:
+    """Filter at the home: request to database, and failed reads to another one.
+
+    Outlets: ``next`` for :class:`RoutedRequest` and cancellations, ``executed``,
+    ``probe``, ``reply``.
+    """
+
+    def __init__(self) -> None:
+        self._groups: dict[str, GroupState] = {}
+        self._loads = LoadTable()
+        self._transactions = TransactionTable()
+        # Due times of held requests (group and request id) and of rounds (no id).
+        self._timers: list[tuple[float, str, str]] = []
+
+    @property
+    def next_tick(self) -> float | None:
+        return self._timers[0][0] if self._timers else None
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, Request):
+            return self._take_request(message, now)
+        if isinstance(message, Execution):
+            return self._take_execution(message, now)
+        if isinstance(message, DatabaseReport):
+            return self._take_report(message, now)
+        if isinstance(message, ReportFailure):
+            return self._take_failure(message)
+        if isinstance(message, PrimaryChanged):
+            return self._take_primary(message, now)
+        if isinstance(message, DatabaseLoad):
+            self._loads.take_load(message)
+        elif isinstance(message, GroupsChanged):
+            return self._change_groups(message)
+        elif isinstance(message, Cancellation):
+            return (self._cancel(message),)
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        emissions: list[Emission] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, group, request_id = heapq.heappop(self._timers)
+            state = self._groups.get(group)
+            if state is None:
+                continue
+            if request_id in state.held:
+                emissions += self._try_held(state, request_id, now)
+            elif not request_id:
+                emissions += self._repeat_round(state, now)
+        return emissions
+
+    # Requests
+
+    def _take_request(self, request: Request, now: float) -> list[Emission]:
+        if request.transaction_id is not None:
+            return [self._route_in_transaction(request, now)]
+        state = self._groups.get(request.group)
+        if state is None:
+            return [refuse(request, RefusalCode.NO_HOME, "this instance is not a home")]
+        return self._hold(state, HeldRequest(request=request, arrived_at=now), now)
+
+    def _hold(self, state: GroupState, held: HeldRequest, now: float) -> list[Emission]:
+        """Try a request at once and keep it while it cannot be sent."""
+        request = held.request
+        state.held[request.request_id] = held
+        emissions = self._try_held(state, request.request_id, now)
+        if request.request_id in state.held:
+            for due in (held.expires_at, held.not_before, held.retry_any_at):
+                if now < due < float("inf"):
+                    self._set_timer(due, request.group, request.request_id)
+        return emissions
+
+    def _route_in_transaction(self, request: Request, now: float) -> Emission:
+        assert request.transaction_id is not None
+        database = self._transactions.find_database(request.transaction_id, now)
+        if database is not None:
+            return Emission(
+                "next",
+                RoutedRequest(
+                    request=request,
+                    database=database,
+                    requirement=request.minimum_position,
+                    is_replica=False,
+                ),
+            )
+        # A repeated commit may have taken effect the first time.
+        is_commit = request.action is Action.COMMIT
+        return refuse(
+            request,
+            RefusalCode.UNKNOWN_TRANSACTION,
+            "the transaction is not open",
+            outcome=Outcome.UNKNOWN if is_commit else Outcome.NOT_RUN,
+        )
+
+    def _try_held(
+        self, state: GroupState, request_id: str, now: float
+    ) -> list[Emission]:
+        held = state.held[request_id]
+        if held.expires_at <= now:
+            del state.held[request_id]
+            return [refuse_expired(held)]
+        if held.not_before > now:
+            return []
+        if held.request.is_read:
+            return self._try_read(state, held, now)
+        return self._try_write(state, held)
+
+    def _try_write(self, state: GroupState, held: HeldRequest) -> list[Emission]:
+        primary = state.table.primary
+        request = held.request
+        if (
+            primary is None
+            or primary.term < request.minimum_position.term
+            or state.table.find_state(primary.database).is_leaving
+        ):
+            return []
+        requirement = max(request.minimum_position, LogPosition(primary.term, 0))
+        return [self._send(state, held, primary.database, requirement, primary.term)]
+
+    def _try_read(
+        self, state: GroupState, held: HeldRequest, now: float
+    ) -> list[Emission]:
+        if held.requirement is None:
+            staleness = held.request.staleness_seconds
+            watermark = state.table.find_watermark(held.arrived_at - staleness)
+            if watermark is None:
+                return self._start_round(state, now)
+            requirement = max(held.request.minimum_position, watermark.position)
+            held = replace(held, requirement=requirement)
+            state.held[held.request.request_id] = held
+        assert held.requirement is not None
+        patience = REPLICA_WAIT_SECONDS
+        if held.patience_until is not None:
+            patience = held.patience_until - now
+        choice = choose_for_read(
+            state.table,
+            held.requirement,
+            excluded=held.tried if now < held.retry_any_at else (),
+            loads=self._loads,
+            now=now,
+            patience_seconds=patience,
+        )
+        if choice is None or choice.must_wait:
+            return [] if choice is None else self._wait(state, held, choice, now)
+        return [self._send(state, held, choice.database, held.requirement, 0)]
+
+    def _wait(
+        self, state: GroupState, held: HeldRequest, choice: ReadChoice, now: float
+    ) -> list[Emission]:
+        """Wait for a replica, and ask it to report once it has caught up."""
+        request = held.request
+        database = choice.database
+        if held.patience_until is None:
+            until = now + REPLICA_WAIT_SECONDS
+            state.held[request.request_id] = replace(held, patience_until=until)
+            self._set_timer(until, request.group, request.request_id)
+        if state.asked_for.get(database, float("-inf")) > now - ROUND_RETRY_SECONDS:
+            return []
+        state.asked_for[database] = now
+        query = ReportQuery(
+            group=request.group, database=database, wait_for=held.requirement
+        )
+        return [Emission("probe", query)]
+
+    def _send(
+        self,
+        state: GroupState,
+        held: HeldRequest,
+        database: str,
+        requirement: LogPosition,
+        expected_term: int,
+    ) -> Emission:
+        state.held.pop(held.request.request_id, None)
+        self._loads.count_routed(database)
+        primary = state.table.primary
+        return Emission(
+            "next",
+            RoutedRequest(
+                request=held.request,
+                database=database,
+                requirement=requirement,
+                is_replica=primary is None or primary.database != database,
+                n_attempts=len(held.tried),
+                tried=held.tried,
+                expected_term=expected_term,
+            ),
+        )
+
+    def _cancel(self, cancellation: Cancellation) -> Emission:
+        for state in self._groups.values():
+            held = state.held.pop(cancellation.request_id, None)
+            if held is not None:
+                return refuse(
+                    held.request, RefusalCode.CANCELLED, "the caller has gone"
+                )
+        return Emission("next", cancellation)
+
+    # Executions
+
+    def _take_execution(self, execution: Execution, now: float) -> list[Emission]:
+        routed = execution.routed
+        request = routed.request
+        state = self._groups.get(request.group)
+        self._transactions.take_execution(execution, now)
+        if state is None:
+            return [Emission("executed", execution)]
+        result = execution.result
+        if result is not None:
+            state.table.take_result(
+                routed.database, result.position, result.is_primary, now
+            )
+        if request.transaction_id is not None:
+            emissions = [Emission("executed", execution)]
+        elif request.is_read:
+            emissions = self._finish_read(state, execution, now)
+        else:
+            emissions = self._finish_write(state, execution, now)
+        return emissions + (self._try_all(state, now) if result is not None else [])
+
+    def _finish_read(
+        self, state: GroupState, execution: Execution, now: float
+    ) -> list[Emission]:
+        routed = execution.routed
+        failure = execution.failure
+        if failure is None:
+            assert execution.result is not None
+            if execution.result.position >= routed.requirement:
+                return [Emission("executed", execution)]
+        elif not is_upstream_failure(failure):
+            return [Emission("executed", execution)]
+        else:
+            state.table.mark_failed(routed.database, now)
+        if routed.n_attempts + 1 >= N_READ_ATTEMPTS:
+            return [give_up(execution)]
+        return self._hold_again(state, routed, now, not_before=now)
+
+    def _finish_write(
+        self, state: GroupState, execution: Execution, now: float
+    ) -> list[Emission]:
+        routed = execution.routed
+        failure = execution.failure
+        if (
+            failure is None
+            or failure.outcome is not Outcome.NOT_RUN
+            or not is_upstream_failure(failure)
+        ):
+            return [Emission("executed", execution)]
+        state.table.mark_superseded(routed.database, routed.expected_term, now)
+        not_before = now + compute_retry_delay(routed.n_attempts)
+        queries: list[Emission] = []
+        if now - state.asked_all_at >= ASK_SPACING_SECONDS:
+            state.asked_all_at = now
+            queries = ask_all(state)
+        return queries + self._hold_again(state, routed, now, not_before=not_before)
+
+    def _hold_again(
+        self, state: GroupState, routed: RoutedRequest, now: float, *, not_before: float
+    ) -> list[Emission]:
+        """Hold a request that certainly did not run, or a read, for another try."""
+        is_read = routed.request.is_read
+        held = HeldRequest(
+            request=routed.request,
+            arrived_at=now,
+            tried=(*routed.tried, routed.database),
+            requirement=routed.requirement if is_read else None,
+            not_before=not_before,
+            retry_any_at=now + READ_RETRY_SECONDS if is_read else float("inf"),
+        )
+        return self._hold(state, held, now)
+
+    # Positions and rounds
+
+    def _start_round(self, state: GroupState, now: float) -> list[Emission]:
+        """Start a watermark round unless one is running."""
+        if state.round_started_at is not None:
+            return []
+        state.round_started_at = now
+        self._set_timer(now + ROUND_RETRY_SECONDS, state.table.group.name, "")
+        return ask_all(state)
+
+    def _repeat_round(self, state: GroupState, now: float) -> list[Emission]:
+        if state.round_started_at is None:
+            return []
+        if not state.needs_round():
+            state.round_started_at = None
+            return []
+        self._set_timer(now + ROUND_RETRY_SECONDS, state.table.group.name, "")
+        return ask_all(state)
+
+    def _take_report(self, report: DatabaseReport, now: float) -> list[Emission]:
+        state = self._groups.get(report.group)
+        if state is None:
+            return []
+        state.asked_for.pop(report.database, None)
+        watermark = state.table.take_report(report)
+        started_at = state.round_started_at
+        if watermark and started_at is not None and watermark.started_at >= started_at:
+            state.round_started_at = None
+        return self._try_all(state, now)
+
+    def _take_failure(self, failure: ReportFailure) -> list[Emission]:
+        state = self._groups.get(failure.group)
+        if state is not None:
+            state.asked_for.pop(failure.database, None)
+            state.table.take_failure(failure)
+        return []
+
+    def _take_primary(self, news: PrimaryChanged, now: float) -> list[Emission]:
+        state = self._groups.get(news.group)
+        if state is None or not state.table.take_primary(news):
+            return []
+        return self._try_all(state, now)
+
+    def _try_all(self, state: GroupState, now: float) -> list[Emission]:
+        emissions: list[Emission] = []
+        for request_id in list(state.held):
+            emissions += self._try_held(state, request_id, now)
+        return emissions
+
+    def _change_groups(self, message: GroupsChanged) -> list[Emission]:
+        names = {group.name for group in message.groups}
+        emissions: list[Emission] = []
+        for name in [name for name in self._groups if name not in names]:
+            state = self._groups.pop(name)
+            emissions += [
+                refuse(
+                    held.request, RefusalCode.NO_HOME, "this instance is no home now"
+                )
+                for held in state.held.values()
+            ]
+        for group in message.groups:
+            known = self._groups.get(group.name)
+            if known is not None:
+                known.table.update_group(group)
+                continue
+            state = self._groups.setdefault(group.name, GroupState(group))
+            emissions += ask_all(state)
+        return emissions
+
+    def _set_timer(self, due: float, group: str, request_id: str) -> None:
+        heapq.heappush(self._timers, (due, group, request_id))
--- a/src/sardinemill/messages.py
+++ b/src/sardinemill/messages.py
@@ -144,6 +144,8 @@
     :param requirement: lowest log position that the database must hold.
     :param is_replica: whether the database was a replica when it was chosen.
     :param n_attempts: databases tried before this one.
+    :param tried: names of the databases tried before this one.
+    :param expected_term: term of the primary for writes and begin, 0 otherwise.
     """
 
     request: Request
@@ -151,6 +153,8 @@
     requirement: LogPosition
     is_replica: bool
     n_attempts: int = 0
+    tried: tuple[str, ...] = ()
+    expected_term: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,6 +198,7 @@
     :param is_primary: role of the database when it answered.
     :param is_repeat: whether the answer was stored by an earlier run under the same
         idempotency key.
+    :param transaction_id: set by begin.
     """
 
     call_id: str
@@ -203,6 +208,7 @@
     position: LogPosition = ORIGIN
     is_primary: bool = False
     is_repeat: bool = False
+    transaction_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
