Add the rate limit: admission, lending, leasing

Each instance spends tokens that it borrowed from the shard's owner, and a static reserve of its seat. The owner keeps level + outstanding <= burst; leases in the platform's store decide who the owner is.

A begin costs two tokens, so that commit and rollback always pass. Charging them as debt was ruled out: the admitted total would exceed the burst by the number of open transactions.

A plan whose share of a seat is below one token has no reserve: that share could never admit a request, but would be missing at the owner.

A lease is released only after the filters that use it have confirmed that no loan and no pledge is open (ShardClosed, SeatClosed). Waiting for a fixed time was ruled out, since a delayed inbox would make it unsafe.

--- /dev/null
+++ b/bench/limits_fleet.py
@@ -0,0 +1,359 @@
+"""Instances of the rate limit's filters, joined by an event queue with simulated time.
+
+Each instance runs the real Admission, Lending and Leasing. Messages, the store and the
+clocks are simulated: delays and losses come from a seeded source, each clock has its
+own rate, and an instance may be paused, stopped, replaced or cut off.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from sardinemill.adapters.clocks import SeededRandom
+from sardinemill.configuration import Configuration, ConfigurationChanged
+from sardinemill.control import (
+    BorrowRequest,
+    DrainStarted,
+    InstanceInfo,
+    Loan,
+    LoanReturn,
+    MembershipChanged,
+    PeerEnvelope,
+    ReservePledge,
+    ReserveQuery,
+    StoreCall,
+    StoreFailure,
+    StoreOperation,
+    StoreReply,
+)
+from sardinemill.filters.admission import Admission
+from sardinemill.filters.leasing import Leasing
+from sardinemill.filters.lending import Lending
+from sardinemill.groups import Address
+from sardinemill.interfaces import Filter
+from sardinemill.limits import LimitSettings
+from sardinemill.messages import Action, Refusal, Request
+from sardinemill.records import JsonLeaseCodec
+
+_ADDRESS = Address("127.0.0.1", 1)
+_PEER_TARGETS = {
+    BorrowRequest: "lending",
+    LoanReturn: "lending",
+    ReservePledge: "lending",
+    Loan: "admission",
+    ReserveQuery: "admission",
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSettings:
+    """Conditions of a run.
+
+    :param peer_delay_seconds: shortest and longest delay of a peer message.
+    :param store_delay_seconds: the same for each direction of a store call.
+    :param loss: part of the peer messages that are lost.
+    :param duplication: part of the peer messages that arrive twice.
+    :param drift: greatest deviation of a clock's rate.
+    :param stall_seconds: longest delay of a message within an instance.
+    """
+
+    n_instances: int
+    random_state: int
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    peer_delay_seconds: tuple[float, float] = (0.0005, 0.0015)
+    store_delay_seconds: tuple[float, float] = (0.001, 0.003)
+    loss: float = 0.0
+    duplication: float = 0.0
+    drift: float = 0.0
+    stall_seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class Node:
+    """One instance: its filters and its clock."""
+
+    name: str
+    filters: dict[str, Filter]
+    clock_start: float
+    clock_rate: float
+    paused_until: float = 0.0
+    is_stopped: bool = False
+    ticks: dict[str, float] = field(default_factory=dict)
+
+    def read_clock(self, time: float) -> float:
+        """Local monotonic seconds at a true time."""
+        return self.clock_start + time * self.clock_rate
+
+    def find_time(self, reading: float) -> float:
+        """True time of a local reading."""
+        return (reading - self.clock_start) / self.clock_rate
+
+
+class Fleet:
+    """Simulated fleet.
+
+    :param on_outcome: called with the true time, the request id and the refusal, or
+        ``None`` for an admitted request.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        configuration: Configuration,
+        on_outcome: Callable[[float, str, Refusal | None], None],
+    ) -> None:
+        self.now = 0.0
+        self.n_peer_messages = 0
+        self.n_store_calls = 0
+        self.is_store_down = False
+        self.store_reply_loss = 0.0
+        self.nodes: dict[str, Node] = {}
+        self._settings = settings
+        self._configuration = configuration
+        self._on_outcome = on_outcome
+        self._random = random.Random(settings.random_state)
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._n_events = 0
+        self._objects: dict[str, tuple[int, bytes]] = {}
+        self._cut_off: set[str] = set()
+        for number in range(settings.n_instances):
+            self._add_node(f"instance-{number}")
+        self.announce_members()
+
+    # Control of a run
+
+    def schedule(self, at: float, action: Callable[[], None]) -> None:
+        """Run an action at a true time."""
+        self._n_events += 1
+        heapq.heappush(self._queue, (max(at, self.now), self._n_events, action))
+
+    def run_until(self, end: float) -> None:
+        """Process all events up to a true time."""
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def submit(
+        self,
+        name: str,
+        request_id: str,
+        workspace: str,
+        *,
+        action: Action = Action.STATEMENT,
+        timeout_seconds: float = 10.0,
+    ) -> None:
+        """Let a request enter at an instance now."""
+        node = self.nodes[name]
+        request = Request(
+            request_id=request_id,
+            action=action,
+            workspace=workspace,
+            key_id="key",
+            group="group",
+            statement=None,
+            deadline=node.read_clock(self.now) + timeout_seconds,
+        )
+        self._deliver(node, "admission", request)
+
+    def replace_node(self, name: str) -> None:
+        """Stop an instance without notice and start another process of its name."""
+        self.stop_node(name)
+        self._add_node(name)
+        self.announce_members()
+
+    def stop_node(self, name: str) -> None:
+        """Stop an instance without notice."""
+        self.nodes.pop(name).is_stopped = True
+
+    def drain_node(self, name: str) -> None:
+        """Ask an instance to stop."""
+        for target in ("admission", "leasing"):
+            self._deliver(self.nodes[name], target, DrainStarted())
+
+    def pause_node(self, name: str, seconds: float) -> None:
+        """Let an instance do nothing for a time."""
+        node = self.nodes[name]
+        node.paused_until = max(node.paused_until, self.now + seconds)
+
+    def set_cut_off(self, names: Sequence[str]) -> None:
+        """Separate instances from peers and store; others are connected."""
+        self._cut_off = set(names)
+
+    def change_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force everywhere."""
+        self._configuration = configuration
+        for node in self.nodes.values():
+            self._configure(node)
+
+    def announce_members(self) -> None:
+        """Tell all instances who is live."""
+        live = tuple(
+            InstanceInfo(
+                name=name,
+                data_centre="one",
+                peer_address=_ADDRESS,
+                front_address=_ADDRESS,
+            )
+            for name in self.nodes
+        )
+        members = MembershipChanged(live=live, leaving=())
+        for node in self.nodes.values():
+            for target in ("admission", "leasing"):
+                self._deliver(node, target, members)
+
+    def find_owner(self, shard: int) -> str | None:
+        """Return the instance named by the shard's lease object."""
+        entry = self._objects.get(f"leases/shards/{shard}")
+        return None if entry is None else JsonLeaseCodec().decode(entry[1]).owner
+
+    # Instances
+
+    def _add_node(self, name: str) -> None:
+        limits, codec = self._settings.limits, JsonLeaseCodec()
+        source = SeededRandom(self._random.getrandbits(64))
+        drift = self._settings.drift
+        node = Node(
+            name=name,
+            filters={
+                "admission": Admission(name, limits, source),
+                "lending": Lending(name, limits),
+                "leasing": Leasing(name, limits, codec, source),
+            },
+            clock_start=self._random.uniform(0, 1000),
+            clock_rate=1 + self._random.choice((-drift, drift)),
+        )
+        self.nodes[name] = node
+        self._configure(node)
+
+    def _configure(self, node: Node) -> None:
+        message = ConfigurationChanged(configuration=self._configuration)
+        for target in ("admission", "lending"):
+            self._deliver(node, target, message)
+
+    def _deliver(self, node: Node, target: str, message: object) -> None:
+        stall = self._settings.stall_seconds
+        delay = self._random.uniform(0, stall) if stall else 0.0
+        if delay or node.paused_until > self.now:
+            at = max(self.now + delay, node.paused_until)
+            self.schedule(at, lambda: self._run(node, target, message))
+        else:
+            self._run(node, target, message)
+
+    def _run(self, node: Node, target: str, message: object | None) -> None:
+        if node.is_stopped:
+            return
+        if node.paused_until > self.now:
+            self.schedule(node.paused_until, lambda: self._run(node, target, message))
+            return
+        step = node.filters[target]
+        reading = node.read_clock(self.now)
+        if message is None:
+            node.ticks.pop(target, None)
+            emissions = step.tick(reading)
+        else:
+            emissions = step.handle(message, reading)
+        for emission in emissions:
+            self._emit(node, emission.outlet, emission.message)
+        self._plan_tick(node, target)
+
+    def _plan_tick(self, node: Node, target: str) -> None:
+        due = node.filters[target].next_tick
+        if due is None:
+            return
+        # A real timer never fires early; neither does this one after rounding.
+        at = max(node.find_time(due), self.now) + 1e-6
+        if at < node.ticks.get(target, float("inf")):
+            node.ticks[target] = at
+            self.schedule(at, lambda: self._tick(node, target, at))
+
+    def _tick(self, node: Node, target: str, at: float) -> None:
+        if node.ticks.get(target) == at:
+            self._run(node, target, None)
+
+    def _emit(self, node: Node, outlet: str, message: object) -> None:
+        if outlet == "next" and isinstance(message, Request):
+            self._on_outcome(self.now, message.request_id, None)
+        elif outlet == "reply" and isinstance(message, Refusal):
+            self._on_outcome(self.now, message.request_id, message)
+        elif outlet == "peers" and isinstance(message, PeerEnvelope):
+            self._send(node, message)
+        elif outlet == "store" and isinstance(message, StoreCall):
+            self._call_store(node, message)
+        elif outlet in node.filters:
+            self._deliver(node, outlet, message)
+
+    # Network and store
+
+    def _send(self, node: Node, envelope: PeerEnvelope) -> None:
+        if envelope.peer == "*":
+            peers = [name for name in self.nodes if name != node.name]
+        else:
+            peers = [envelope.peer]
+        arrived = PeerEnvelope(peer=node.name, message=envelope.message)
+        target = _PEER_TARGETS[type(envelope.message)]
+        for peer in peers:
+            is_local = peer == node.name
+            if not is_local:
+                self.n_peer_messages += 1
+            is_cut = bool({peer, node.name} & self._cut_off) and not is_local
+            if is_cut or self._random.random() < self._settings.loss:
+                continue
+            n_copies = 1 + (self._random.random() < self._settings.duplication)
+            for _ in range(n_copies):
+                shortest, longest = self._settings.peer_delay_seconds
+                delay = 0.0 if is_local else self._random.uniform(shortest, longest)
+                self._arrive(peer, target, arrived, self.now + delay)
+
+    def _arrive(self, peer: str, target: str, message: object, at: float) -> None:
+        def arrive() -> None:
+            node = self.nodes.get(peer)
+            if node is not None:
+                self._deliver(node, target, message)
+
+        self.schedule(at, arrive)
+
+    def _call_store(self, node: Node, call: StoreCall) -> None:
+        self.n_store_calls += 1
+        asked_at = node.read_clock(self.now)
+        shortest, longest = self._settings.store_delay_seconds
+        delay = self._random.uniform(shortest, longest)
+        if self.is_store_down or node.name in self._cut_off:
+            failed = self._fail(call, asked_at)
+            self.schedule(
+                self.now + call.timeout_seconds,
+                lambda: self._deliver(node, "leasing", failed),
+            )
+            return
+
+        def apply() -> None:
+            reply = self._apply(call, asked_at)
+            at = self.now + delay
+            if self._random.random() < self.store_reply_loss:
+                reply, at = self._fail(call, asked_at), self.now + call.timeout_seconds
+            self.schedule(at, lambda: self._deliver(node, "leasing", reply))
+
+        self.schedule(self.now + delay, apply)
+
+    def _fail(self, call: StoreCall, asked_at: float) -> StoreReply:
+        return StoreReply(
+            call=call, failure=StoreFailure.UNAVAILABLE, asked_at=asked_at
+        )
+
+    def _apply(self, call: StoreCall, asked_at: float) -> StoreReply:
+        version, value = self._objects.get(call.name, (0, b""))
+        failure = None
+        if call.operation is StoreOperation.PUT:
+            if version != call.expected_version:
+                failure = StoreFailure.CONFLICT
+            else:
+                version, value = version + 1, call.value
+                self._objects[call.name] = (version, value)
+        return StoreReply(
+            call=call,
+            failure=failure,
+            asked_at=asked_at,
+            version=version,
+            value=value,
+        )
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -23,6 +23,8 @@
         control.Loan,
         control.LoanReturn,
         control.PrimaryChanged,
+        control.ReservePledge,
+        control.ReserveQuery,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -228,12 +228,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BorrowRequest:
-    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``."""
+    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
+
+    :param returns: loans of this owner that ended early, spent or not.
+    """
 
     borrow_id: str
     borrower: str
     workspace: str
     n_tokens: float
+    returns: "tuple[LoanReturn, ...]" = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -258,7 +262,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoanReturn:
-    """Unspent tokens of a loan that has not ended yet."""
+    """Unspent tokens of a loan that has not ended yet; 0 when all were spent."""
 
     borrow_id: str
     borrower: str
@@ -274,6 +278,8 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`
+        once its loans have ended.
     """
 
     shard: int
@@ -281,14 +287,65 @@
     epoch: int
     valid_until: float
     taken_at: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardClosed:
+    """No loan of the shard is open, so its lease may be released."""
+
+    shard: int
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeatLease:
-    """Seat of this instance; ``None`` as seat means that it holds none."""
+    """Seat of this instance; ``None`` as seat means that it holds none.
+
+    :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
+        answers once no pledge of it is open.
+    """
 
     seat: int | None
     valid_until: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeatClosed:
+    """The reserve of the seat is neither used nor pledged; it may be released."""
+
+    seat: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveQuery:
+    """A shard's owner asks instances to pledge their reserves to it.
+
+    :param asked_at: seconds on the owner's clock, echoed by the answer.
+    :param term_seconds: how long the reserves shall stay unused, from receipt.
+    """
+
+    shard: int
+    epoch: int
+    asked_at: float
+    term_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservePledge:
+    """Promise not to use the reserve of a seat for the workspaces of a shard.
+
+    :param term_seconds: counted by the instance from receipt of the question; the
+        owner counts it from when it asked.
+    """
+
+    shard: int
+    epoch: int
+    instance: str
+    seat: int
+    asked_at: float
+    term_seconds: float
 
 
 # Configuration
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -34,6 +34,18 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 4xx rate limits
+    SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
+    SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
+    SHARD_RELEASED = EventKind(403, "info", "The instance gave a shard away.")
+    SEAT_TAKEN = EventKind(404, "info", "The instance holds a seat with a reserve.")
+    SEAT_LOST = EventKind(405, "warning", "The seat's lease ended unplanned.")
+    SEAT_RELEASED = EventKind(406, "info", "The instance gave its seat back.")
+    LEASE_RECORD_INVALID = EventKind(407, "error", "A lease object is not readable.")
+    OWNER_UNREACHABLE = EventKind(
+        408, "warning", "Requests were refused because no shard owner answered."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
