--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -24,6 +24,8 @@
         control.LoanReturn,
         control.PrimaryChanged,
         control.PrimaryOpinion,
+        control.ReservePledge,
+        control.ReserveQuery,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -47,6 +47,16 @@
     PRIMARY_LEARNED = EventKind(306, "info", "Learn: a primary of a higher term.")
     FAILOVER_ABANDONED = EventKind(
         307, "warning", "An attempt at failover ended without a new primary."
+    # 4xx rate limits
+    SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
+    SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
+    SHARD_RELEASED = EventKind(403, "info", "The instance gave a shard away.")
+    SEAT_TAKEN = EventKind(404, "info", "The instance holds a seat with a reserve.")
+    SEAT_LOST = EventKind(405, "warning", "The seat's lease ended unplanned.")
+    SEAT_RELEASED = EventKind(406, "info", "The instance gave its seat back.")
+    LEASE_RECORD_INVALID = EventKind(407, "error", "A lease object is not readable.")
+    OWNER_UNREACHABLE = EventKind(
+        408, "warning", "Requests were refused because no shard owner answered."
     )
 
 
