Distribute the configuration to every instance

Cause: instances need the operators' lists and a bounded age of their confirmation, also while data centres are cut off from the store.

Parts carry the edit id in their version, because two editors at the same version would otherwise block each other on a create-only name. The document between peers holds only the parts that changed since the asker's version; the full document would exceed 9 KB/s for a daemon at the target.

The strict key policy no longer trusts the outage flag by itself: evidence has a time and ages like a confirmation, so an instance that was paused does not serve on old evidence.

--- /dev/null
+++ b/src/sardinemill/adapters/documents.py
@@ -0,0 +1,45 @@
+"""MessagePack encoding of configuration heads, parts and documents."""
+
+from typing import TypeVar
+
+import msgspec
+
+from ..documents import Document, Head, Part
+from ..errors import CodecError
+
+T = TypeVar("T")
+
+
+class MessagePackDocuments:
+    """Document codec for the store and the peer link.
+
+    Mappings are encoded in sorted order, so that equal content gives equal bytes.
+    """
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder(order="sorted")
+
+    def encode_head(self, head: Head) -> bytes:
+        return self._encoder.encode(head)
+
+    def decode_head(self, data: bytes) -> Head:
+        return _decode(data, Head)
+
+    def encode_part(self, part: Part) -> bytes:
+        return self._encoder.encode(part)
+
+    def decode_part(self, data: bytes) -> Part:
+        return _decode(data, Part)
+
+    def encode_document(self, document: Document) -> bytes:
+        return self._encoder.encode(document)
+
+    def decode_document(self, data: bytes) -> Document:
+        return _decode(data, Document)
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error), step="decode configuration") from error
--- a/src/sardinemill/configuration.py
+++ b/src/sardinemill/configuration.py
@@ -77,8 +77,10 @@
 class ConfigurationConfirmed:
     """The version in force was confirmed as the latest.
 
-    :param confirmed_at: local monotonic seconds before the confirming question.
-    :param is_store_down_everywhere: peers of every data centre report that the store
+    :param confirmed_at: local monotonic seconds before the confirming question; while
+        ``is_store_down_everywhere``, the time of the oldest report that shows it, so
+        that the evidence ages like any other confirmation.
+    :param is_store_down_everywhere: relays of every data centre report that the store
         is unreachable, so no edit can be accepted.
     """
 
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -296,11 +296,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VersionQuery:
-    """Asks a relay for its configuration version; ``query_id`` matches the answer."""
+    """Asks a relay for its configuration version; ``query_id`` matches the answer.
+
+    :param lacking: parts that the last answer left out for their size.
+    """
 
     query_id: str
     source: str
     known_version: int
+    lacking: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -312,6 +316,8 @@
     :param store_unreachable_seconds: how long the relay's store calls have failed; 0
         while they succeed.
     :param document: encoded configuration when the asker's version is older.
+    :param outage_age_seconds: age of the evidence that no data centre reaches the
+        store, or ``None`` without such evidence.
     """
 
     query_id: str
@@ -321,6 +327,7 @@
     confirmed_age_seconds: float
     store_unreachable_seconds: float
     document: bytes | None = field(default=None, repr=False)
+    outage_age_seconds: float | None = None
 
 
 # Home side
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -34,6 +34,35 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 5xx configuration and keys
+    CONFIGURATION_ADOPTED = EventKind(
+        501, "info", "A higher configuration version is in force at this instance."
+    )
+    CONFIGURATION_REJECTED = EventKind(
+        502, "error", "A configuration document is malformed; the old one stays."
+    )
+    RELAY_STARTED = EventKind(
+        503, "info", "The instance watches the configuration in the store."
+    )
+    RELAY_STOPPED = EventKind(
+        504, "info", "The instance pulls the configuration from a relay."
+    )
+    STORE_CALLS_FAILED = EventKind(
+        505, "warning", "The relay's store calls began to fail."
+    )
+    STORE_CALLS_RECOVERED = EventKind(
+        506, "info", "The relay's store calls succeed again."
+    )
+    OUTAGE_CONFIRMED = EventKind(
+        507, "warning", "Relays of every data centre report the store unreachable."
+    )
+    OUTAGE_ENDED = EventKind(
+        508, "info", "The store is no longer known to be unreachable everywhere."
+    )
+    CONFIGURATION_STALE = EventKind(
+        509, "warning", "The configuration has not been confirmed within the limit."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
--- a/src/sardinemill/filters/authentication.py
+++ b/src/sardinemill/filters/authentication.py
@@ -36,7 +36,8 @@
     """Refuses keyed requests once a withdrawal could have been missed.
 
     While the store is unreachable from every data centre no edit can be accepted, so
-    the configuration in force is still the latest.
+    the configuration in force is still the latest; ``confirmed_at`` is then the time
+    of that evidence. An instance that was paused meets old evidence as too old.
 
     :param limit_seconds: greatest age of a confirmation.
     """
@@ -45,10 +46,7 @@
         self._limit_seconds = limit_seconds
 
     def allows(self, confirmation: ConfigurationConfirmed, now: float) -> bool:
-        return (
-            confirmation.is_store_down_everywhere
-            or now - confirmation.confirmed_at <= self._limit_seconds
-        )
+        return now - confirmation.confirmed_at <= self._limit_seconds
 
 
 class AvailableKeyPolicy:
--- /dev/null
+++ b/src/sardinemill/filters/store_watch.py
@@ -0,0 +1,159 @@
+"""A relay's calls to the store: the watch on the head and the fetch of parts."""
+
+from collections.abc import Sequence
+
+from ..control import StoreCall, StoreOperation, StoreReply
+from ..documents import HEAD_NAME, PARTS_PREFIX, name_part_object
+from ..interfaces import RandomSource
+from .configuration_state import ConfigurationState
+
+# A relay's confirmation is at most two watches old. With the pull of a second and the
+# exchange between relays it stays below the 4 s after which keys are refused.
+WATCH_SECONDS = 0.5
+# Bounds the calls of one relay even when the store answers watches at once.
+MIN_GAP_SECONDS = 0.1
+N_PARALLEL_FETCHES = 4
+BACKOFF_START_SECONDS = 0.25
+BACKOFF_LIMIT_SECONDS = 4.0
+# A call without any reply counts as failed this long after its own time limit.
+REPLY_GRACE_SECONDS = 1.5
+
+
+class StoreWatch:
+    """Keeps the state in step with the store while the instance is a relay.
+
+    Store calls of the fleet: 5 data centres with 2 relays each, a watch of 0.5 s, give
+    10 / 0.5 = 20 calls/s. A change adds one read for each touched part and relay. If
+    all 620 daemons took themselves for relays, watches would be 620 / 0.5 = 1,240
+    reads/s, below the 2,000 that the store allows. While calls fail, the back-off grows
+    to 4 s times a random factor between 0.5 and 1.5: 10 / 4 = 2.5 calls/s, or 155 for
+    all 620 daemons; after the outage they return spread over 4 s.
+
+    :param state: receives heads and parts.
+    """
+
+    def __init__(self, state: ConfigurationState, random: RandomSource) -> None:
+        self._state = state
+        self._random = random
+        self._is_active = False
+        self._outstanding: dict[str, float] = {}
+        self._n_calls = 0
+        self._n_failures = 0
+        self._next_call_at = 0.0
+        self._object_version = 0
+        self._head_version = 0
+        self.unreachable_since: float | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the instance is a relay."""
+        return self._is_active
+
+    @property
+    def next_at(self) -> float | None:
+        """When :meth:`make_calls` is due."""
+        if self._outstanding:
+            return min(self._outstanding.values())
+        return self._next_call_at if self._is_active else None
+
+    def activate(self, now: float) -> None:
+        """Become a relay."""
+        self._is_active = True
+        self._next_call_at = max(self._next_call_at, now)
+
+    def deactivate(self) -> None:
+        """Stop being a relay; a pending watch is not renewed when it returns."""
+        self._is_active = False
+        self.unreachable_since = None
+
+    def make_calls(self, now: float) -> Sequence[StoreCall]:
+        """Return the calls that are due."""
+        for call_id, limit in list(self._outstanding.items()):
+            if now >= limit:
+                del self._outstanding[call_id]
+                self._fail(now)
+        if not self._is_active or self._outstanding or now < self._next_call_at:
+            return ()
+        self._next_call_at = now + MIN_GAP_SECONDS
+        calls = [
+            self._make_fetch(name) for name in self._state.lacking[:N_PARALLEL_FETCHES]
+        ] or [self._make_watch()]
+        for call in calls:
+            limit = now + call.timeout_seconds + REPLY_GRACE_SECONDS
+            self._outstanding[call.call_id] = limit
+        return calls
+
+    def accept(self, reply: StoreReply, now: float) -> None:
+        """Take the outcome of a call, also of one that was given up.
+
+        :raises CodecError: when the head is malformed.
+        """
+        self._outstanding.pop(reply.call.call_id, None)
+        if reply.failure is not None:
+            self._fail(now)
+            return
+        self.unreachable_since = None
+        self._n_failures = 0
+        if reply.call.operation is StoreOperation.WATCH:
+            self._accept_head(reply, now)
+        else:
+            self._accept_part(reply, now)
+
+    def reread(self, now: float) -> None:
+        """Read the head again, after a pause, because its version was unusable."""
+        self._object_version = 0
+        self._n_failures += 1
+        self._next_call_at = now + self._make_backoff()
+
+    def _accept_head(self, reply: StoreReply, now: float) -> None:
+        if reply.version == 0:
+            self._state.confirm(0, reply.asked_at)
+        elif reply.version == self._object_version:
+            self._state.confirm(self._head_version, reply.asked_at)
+        elif reply.version > self._object_version:
+            version = self._state.begin(reply.value)
+            self._object_version = reply.version
+            self._head_version = version
+            self._state.confirm(version, reply.asked_at)
+            self._next_call_at = now
+
+    def _accept_part(self, reply: StoreReply, now: float) -> None:
+        name, _, part_version = reply.call.name[len(PARTS_PREFIX) :].partition("/")
+        if reply.version > 0:
+            self._state.add_part(name, part_version, reply.value)
+        elif self._state.find_part_version(name) == part_version:
+            # The part was removed because a later version replaced it.
+            self._state.drop_assembly()
+            self.reread(now)
+
+    def _fail(self, now: float) -> None:
+        self._n_failures += 1
+        self._next_call_at = now + self._make_backoff()
+        if self._is_active and self.unreachable_since is None:
+            self.unreachable_since = now
+
+    def _make_backoff(self) -> float:
+        doublings = min(self._n_failures - 1, 8)
+        seconds = min(BACKOFF_START_SECONDS * 2**doublings, BACKOFF_LIMIT_SECONDS)
+        return seconds * (0.5 + self._random.random())
+
+    def _make_id(self) -> str:
+        self._n_calls += 1
+        return f"configuration-{self._n_calls}"
+
+    def _make_watch(self) -> StoreCall:
+        return StoreCall(
+            call_id=self._make_id(),
+            operation=StoreOperation.WATCH,
+            name=HEAD_NAME,
+            after_version=self._object_version,
+            timeout_seconds=WATCH_SECONDS,
+        )
+
+    def _make_fetch(self, name: str) -> StoreCall:
+        part_version = self._state.find_part_version(name) or ""
+        return StoreCall(
+            call_id=self._make_id(),
+            operation=StoreOperation.GET,
+            name=name_part_object(name, part_version),
+        )
--- /dev/null
+++ b/src/sardinemill/validation.py
@@ -0,0 +1,223 @@
+"""Checks a whole configuration and reports every fault at once."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from .configuration import Configuration, Key, Plan
+from .errors import ConfigurationError
+from .groups import DatabaseDescription, GroupDescription
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+NAME_RULE = "1 to 63 of a-z, 0-9, dot, dash, underscore; starts with a letter or digit"
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+MAX_RATE_PER_SECOND = 1_000_000.0
+MAX_BURST = 10_000_000.0
+MAX_WEIGHT = 1_000.0
+MAX_QUEUED = 100_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """One reason why a configuration is not acceptable.
+
+    :param list_name: ``plans``, ``workspaces``, ``keys`` or ``groups``.
+    :param entry: name of the entry, or ``""`` for the whole list.
+    :param field: field of the entry.
+    :param allowed: what the field may hold.
+    :param found: the value, when it is safe to show.
+    """
+
+    list_name: str
+    entry: str
+    field: str
+    allowed: str
+    found: str = ""
+
+    def __str__(self) -> str:
+        found = f", found {self.found}" if self.found else ""
+        entry = f" {self.entry!r}" if self.entry else ""
+        return f"{self.list_name}{entry}: {self.field}: {self.allowed}{found}"
+
+
+class InvalidConfiguration(ConfigurationError):
+    """A configuration with faults.
+
+    :param faults: all of them.
+    """
+
+    def __init__(self, faults: tuple[Fault, ...], *, step: str) -> None:
+        super().__init__("; ".join(str(fault) for fault in faults), step=step)
+        self.faults = faults
+
+
+def find_faults(configuration: Configuration) -> tuple[Fault, ...]:
+    """Check every entry of every list.
+
+    :returns: all faults, in the order of lists and entries.
+    """
+    return (
+        *_check_plans(configuration.plans),
+        *_check_workspaces(configuration),
+        *_check_keys(configuration),
+        *_check_groups(configuration.groups),
+    )
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """
+    :raises InvalidConfiguration: with all faults.
+    """
+    faults = find_faults(configuration)
+    if faults:
+        raise InvalidConfiguration(faults, step="validation")
+
+
+def _check_name(list_name: str, entry: str, name: str) -> Iterator[Fault]:
+    if not NAME_PATTERN.fullmatch(name):
+        yield Fault(
+            list_name=list_name,
+            entry=entry,
+            field="name",
+            allowed=NAME_RULE,
+            found=repr(name),
+        )
+    if entry != name:
+        yield Fault(
+            list_name=list_name,
+            entry=entry,
+            field="name",
+            allowed="the name under which the entry is listed",
+            found=repr(name),
+        )
+
+
+def _check_range(
+    list_name: str, entry: str, field: str, value: float, low: float, high: float
+) -> Iterator[Fault]:
+    if not math.isfinite(value) or not low <= value <= high:
+        yield Fault(
+            list_name=list_name,
+            entry=entry,
+            field=field,
+            allowed=f"a number from {low:g} to {high:g}",
+            found=f"{value:g}",
+        )
+
+
+def _check_plans(plans: Mapping[str, Plan]) -> Iterator[Fault]:
+    for entry, plan in plans.items():
+        yield from _check_name("plans", entry, plan.name)
+        rates = (
+            ("rate_per_second", plan.rate_per_second, 0.001, MAX_RATE_PER_SECOND),
+            # A burst below one token would admit no request at all.
+            ("burst", plan.burst, 1, MAX_BURST),
+            ("weight", plan.weight, 0.001, MAX_WEIGHT),
+            ("n_queued", plan.n_queued, 1, MAX_QUEUED),
+        )
+        for field, value, low, high in rates:
+            yield from _check_range("plans", entry, field, value, low, high)
+
+
+def _check_reference(
+    list_name: str, entry: str, field: str, value: str, known: Mapping[str, object]
+) -> Iterator[Fault]:
+    if value not in known:
+        yield Fault(
+            list_name=list_name,
+            entry=entry,
+            field=field,
+            allowed=f"the name of a {field} in the list of {field}s",
+            found=repr(value),
+        )
+
+
+def _check_workspaces(configuration: Configuration) -> Iterator[Fault]:
+    for entry, workspace in configuration.workspaces.items():
+        yield from _check_name("workspaces", entry, workspace.name)
+        yield from _check_reference(
+            "workspaces", entry, "plan", workspace.plan, configuration.plans
+        )
+        yield from _check_reference(
+            "workspaces", entry, "group", workspace.group, configuration.groups
+        )
+
+
+def _check_keys(configuration: Configuration) -> Iterator[Fault]:
+    seen: dict[str, str] = {}
+    for entry, key in configuration.keys.items():
+        yield from _check_name("keys", entry, key.key_id)
+        yield from _check_reference(
+            "keys", entry, "workspace", key.workspace, configuration.workspaces
+        )
+        yield from _check_digest(entry, key, seen)
+
+
+def _check_digest(entry: str, key: Key, seen: dict[str, str]) -> Iterator[Fault]:
+    allowed = "64 hexadecimal digits"
+    if DIGEST_PATTERN.fullmatch(key.digest):
+        other = seen.setdefault(key.digest, entry)
+        if other == entry:
+            return
+        allowed = f"a digest of its own; {other!r} has the same"
+    yield Fault(list_name="keys", entry=entry, field="digest", allowed=allowed)
+
+
+def _check_groups(groups: Mapping[str, GroupDescription]) -> Iterator[Fault]:
+    owners: dict[str, str] = {}
+    for entry, group in groups.items():
+        yield from _check_name("groups", entry, group.name)
+        yield from _check_range("groups", entry, "n_slots", group.n_slots, 1, 99)
+        slots: set[int] = set()
+        for database in group.databases:
+            yield from _check_database(entry, group, database)
+            if database.slot in slots:
+                yield _fault_database(entry, database, "slot", "a slot of its own")
+            slots.add(database.slot)
+            if owners.setdefault(database.name, entry) != entry:
+                yield _fault_database(
+                    entry, database, "name", "a name that no other group uses"
+                )
+        names = [database.name for database in group.databases]
+        if len(set(names)) < len(names):
+            yield Fault(
+                list_name="groups",
+                entry=entry,
+                field="databases",
+                allowed="each database once",
+            )
+
+
+def _fault_database(
+    entry: str, database: DatabaseDescription, field: str, allowed: str
+) -> Fault:
+    return Fault(
+        list_name="groups",
+        entry=entry,
+        field=f"database {database.name!r} {field}",
+        allowed=allowed,
+    )
+
+
+def _check_database(
+    entry: str, group: GroupDescription, database: DatabaseDescription
+) -> Iterator[Fault]:
+    if not NAME_PATTERN.fullmatch(database.name):
+        yield _fault_database(entry, database, "name", NAME_RULE)
+    if database.group != group.name:
+        yield _fault_database(entry, database, "group", "the group that lists it")
+    if not 0 <= database.slot < group.n_slots:
+        allowed = f"a number from 0 to {group.n_slots - 1}"
+        yield _fault_database(entry, database, "slot", allowed)
+    if not database.data_centre:
+        yield _fault_database(entry, database, "data_centre", "a name")
+    if database.n_connections < 1:
+        yield _fault_database(entry, database, "n_connections", "at least 1")
+    if not 1 <= database.address.port <= 65535:
+        yield _fault_database(entry, database, "port", "a number from 1 to 65535")
+    try:
+        ipaddress.ip_address(database.address.host)
+    except ValueError:
+        yield _fault_database(entry, database, "host", "an IP address")
