Add placement, reception, scheduling, pools, membership and peer links

First usable version of the path between entry instance and database, so that the composition root and the other filters can build on its outlets.

Ruled out: idle time-outs inside the pool. Scheduling owns the permits of transactions, so it alone decides when one is rolled back, and the pool follows.

Placement and scheduling have no tests of their own yet.

--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -164,6 +164,7 @@
 
     :param sequence: counts up from 1 in one process.
     :param configuration_version: version in force at the sender.
+    :param info: the sender itself, for receivers whose list does not hold it yet.
     """
 
     source: str
@@ -171,6 +172,7 @@
     sequence: int
     state: InstanceState
     configuration_version: int
+    info: InstanceInfo | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,10 +181,13 @@
 
     :param live: take new work.
     :param leaving: finish work, take none.
+    :param candidates: all instances that the peer link keeps a connection to, also
+        the suspected ones, so that they are heard when they come back.
     """
 
     live: tuple[InstanceInfo, ...]
     leaving: tuple[InstanceInfo, ...]
+    candidates: tuple[InstanceInfo, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -34,6 +34,24 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 2xx requests: placement, scheduling and transactions
+    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
+    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
+
+    # 6xx membership and peers
+    INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
+    INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
+    INSTANCE_LIST_FAILED = EventKind(
+        603, "warning", "The platform's list of instances could not be read."
+    )
+    PEER_MESSAGE_DROPPED = EventKind(
+        604, "warning", "A peer message was malformed, foreign or met a full queue."
+    )
+    PEER_LINK_REPLACED = EventKind(
+        605, "info", "The socket to a silent peer was replaced."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
--- /dev/null
+++ b/src/sardinemill/filters/database_queue.py
@@ -0,0 +1,133 @@
+"""Queue and connection permits of one database at this home."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..control import DatabaseLoad
+from ..messages import Execution, RoutedRequest
+from .queueing import QueuedWork, QueuePolicy, ServiceTimes
+
+# Routing needs the order of magnitude of a queue, not each change.
+LOAD_INTERVAL_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class RunningWork:
+    """Request that holds a permit of its own.
+
+    :param expected_seconds: cost that the policy assumed.
+    :param started_at: monotonic seconds.
+    """
+
+    routed: RoutedRequest
+    expected_seconds: float
+    started_at: float
+
+
+class DatabaseQueue:
+    """Waiting and running requests of one database.
+
+    A permit is held by each running request outside a transaction and by each open
+    transaction, from its begin to its end.
+
+    :param name: database name.
+    :param n_permits: connections that this home may use.
+    """
+
+    def __init__(
+        self, name: str, n_permits: int, policy: QueuePolicy, times: ServiceTimes
+    ) -> None:
+        self.name = name
+        self.n_permits = n_permits
+        self.policy = policy
+        self.n_transactions = 0
+        self._times = times
+        self._running: dict[str, RunningWork] = {}
+
+    @property
+    def n_used(self) -> int:
+        """Permits in use."""
+        return len(self._running) + self.n_transactions
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits or holds a permit."""
+        return self.n_used == 0 and len(self.policy) == 0
+
+    def take_next(self, now: float) -> QueuedWork | None:
+        """Remove the request to run next if there is a permit for it."""
+        return self.policy.pop(now) if self.n_used < self.n_permits else None
+
+    def start(self, routed: RoutedRequest, now: float) -> None:
+        """Give a permit to a request."""
+        request = routed.request
+        expected = self._times.estimate(request.workspace)
+        self._running[request.request_id] = RunningWork(routed, expected, now)
+
+    def finish(self, execution: Execution) -> RunningWork | None:
+        """Take the permit back.
+
+        :returns: ``None`` when the request holds none.
+        """
+        return self._running.pop(execution.routed.request.request_id, None)
+
+    def charge(self, work: RunningWork, service_seconds: float) -> None:
+        """Account for the time of a request on its connection."""
+        workspace = work.routed.request.workspace
+        self._times.add(workspace, service_seconds)
+        self.policy.charge(workspace, work.expected_seconds, service_seconds)
+
+    def refund(self, workspace: str) -> None:
+        """Take back the cost of a request that left the queue but did not run."""
+        self.policy.charge(workspace, self._times.estimate(workspace), 0.0)
+
+    def is_running(self, request_id: str) -> bool:
+        """Whether the request holds a permit."""
+        return request_id in self._running
+
+    def describe(self) -> DatabaseLoad:
+        """Current load, for the choice between databases."""
+        return DatabaseLoad(
+            database=self.name,
+            n_queued=len(self.policy),
+            n_running=self.n_used,
+            mean_service_seconds=self._times.mean_seconds,
+        )
+
+
+class LoadReports:
+    """Limits how often the load of a database is reported."""
+
+    def __init__(self) -> None:
+        self._reported: dict[str, tuple[float, DatabaseLoad]] = {}
+        self._unreported: dict[str, DatabaseQueue] = {}
+
+    @property
+    def next_report(self) -> float | None:
+        """Monotonic seconds at which a report is due, or ``None``."""
+        return min(map(self._find_time, self._unreported), default=None)
+
+    def add(self, queue: DatabaseQueue) -> None:
+        """Note that the load of a queue changed."""
+        self._unreported[queue.name] = queue
+
+    def discard(self, queue: DatabaseQueue) -> None:
+        """Forget a queue that is no longer used."""
+        self._unreported.pop(queue.name, None)
+        self._reported.pop(queue.name, None)
+
+    def take(self, now: float) -> Iterator[DatabaseLoad]:
+        """Yield the reports that are due."""
+        due = [name for name in self._unreported if self._find_time(name) <= now]
+        for name in due:
+            load = self._unreported.pop(name).describe()
+            reported = self._reported.get(name)
+            self._reported[name] = (now, load)
+            if reported is None or reported[1] != load:
+                yield load
+
+    def _find_time(self, name: str) -> float:
+        reported = self._reported.get(name)
+        return (
+            float("-inf") if reported is None else reported[0] + LOAD_INTERVAL_SECONDS
+        )
--- /dev/null
+++ b/src/sardinemill/filters/queueing.py
@@ -0,0 +1,277 @@
+"""Orders in which requests leave the queue of a database."""
+
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..messages import RoutedRequest
+
+# Assumed for a workspace that has not run anything yet.
+DEFAULT_SERVICE_SECONDS = 0.005
+# Weight of the newest measurement in a smoothed service time.
+SMOOTHING = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedWork:
+    """Request that waits for a connection.
+
+    :param queued_at: monotonic seconds.
+    """
+
+    routed: RoutedRequest
+    queued_at: float
+
+    @property
+    def workspace(self) -> str:
+        """Workspace that the wait counts for."""
+        return self.routed.request.workspace
+
+    @property
+    def request_id(self) -> str:
+        """Identifies the work."""
+        return self.routed.request.request_id
+
+
+class ServiceTimes:
+    """Smoothed service times by workspace."""
+
+    def __init__(self) -> None:
+        self._by_workspace: dict[str, float] = {}
+        self.mean_seconds = DEFAULT_SERVICE_SECONDS
+
+    def estimate(self, workspace: str) -> float:
+        """Expected seconds of one request of the workspace; above zero."""
+        return self._by_workspace.get(workspace, self.mean_seconds)
+
+    def add(self, workspace: str, service_seconds: float) -> None:
+        """Take a measured time into account."""
+        seconds = max(service_seconds, 1e-6)
+        old = self.estimate(workspace)
+        self._by_workspace[workspace] = old + SMOOTHING * (seconds - old)
+        self.mean_seconds += SMOOTHING * (seconds - self.mean_seconds)
+
+
+class QueuePolicy(Protocol):
+    """Order of the waiting requests of one database."""
+
+    def __len__(self) -> int: ...
+
+    def count(self, workspace: str) -> int:
+        """Number of waiting requests of a workspace."""
+        ...
+
+    def push(self, work: QueuedWork) -> None:
+        """Add a request."""
+        ...
+
+    def pop(self, now: float) -> QueuedWork | None:
+        """Remove and return the request to run next, or ``None``."""
+        ...
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        """Remove a request that shall not run any more."""
+        ...
+
+    def charge(
+        self, workspace: str, expected_seconds: float, service_seconds: float
+    ) -> None:
+        """Account for time on a connection.
+
+        :param expected_seconds: what ``pop`` assumed for this request.
+        """
+        ...
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Set the relative shares of the workspaces; others have weight 1."""
+        ...
+
+
+class FirstInFirstOut:
+    """Serves requests in the order of arrival."""
+
+    def __init__(self, times: ServiceTimes) -> None:
+        self._waiting: OrderedDict[str, QueuedWork] = OrderedDict()
+        self._counts: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def count(self, workspace: str) -> int:
+        return self._counts.get(workspace, 0)
+
+    def push(self, work: QueuedWork) -> None:
+        self._waiting[work.request_id] = work
+        self._counts[work.workspace] = self.count(work.workspace) + 1
+
+    def pop(self, now: float) -> QueuedWork | None:
+        if not self._waiting:
+            return None
+        _, work = self._waiting.popitem(last=False)
+        self._counts[work.workspace] -= 1
+        return work
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        work = self._waiting.pop(request_id, None)
+        if work is not None:
+            self._counts[work.workspace] -= 1
+        return work
+
+    def charge(
+        self, workspace: str, expected_seconds: float, service_seconds: float
+    ) -> None:
+        """The order does not depend on service times."""
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """The order does not depend on weights."""
+
+
+class WorkspaceQueues:
+    """Waiting requests by workspace, oldest first in each."""
+
+    def __init__(self) -> None:
+        self._queues: dict[str, OrderedDict[str, QueuedWork]] = {}
+        self._n_waiting = 0
+
+    def __len__(self) -> int:
+        return self._n_waiting
+
+    def count(self, workspace: str) -> int:
+        """Number of waiting requests of a workspace."""
+        return len(self._queues.get(workspace, ()))
+
+    def push(self, work: QueuedWork) -> None:
+        """Append a request to the queue of its workspace."""
+        queue = self._queues.setdefault(work.workspace, OrderedDict())
+        queue[work.request_id] = work
+        self._n_waiting += 1
+
+    def list_heads(self) -> Iterator[QueuedWork]:
+        """Oldest request of each workspace that waits."""
+        return (next(iter(queue.values())) for queue in self._queues.values())
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        """Remove one request."""
+        queue = self._queues.get(workspace)
+        work = None if queue is None else queue.pop(request_id, None)
+        if work is not None:
+            self._n_waiting -= 1
+            if not queue:
+                del self._queues[workspace]
+        return work
+
+
+class WeightedFairQueueing:
+    """Serves workspaces in proportion to their weights.
+
+    Start-time fair queueing (P. Goyal, H. M. Vin, H. Cheng): each request gets a start
+    tag, the larger of the virtual time and the finish tag of the workspace's previous
+    request, and a finish tag, the start tag plus its cost over the weight. The request
+    with the lowest start tag is next, and its tag becomes the virtual time. The cost is
+    the expected time on a connection; a finish tag is corrected once the time is
+    measured.
+
+    :param times: smoothed service times.
+    """
+
+    def __init__(self, times: ServiceTimes) -> None:
+        self._times = times
+        self._waiting = WorkspaceQueues()
+        self._weights: Mapping[str, float] = {}
+        self._finish_tags: dict[str, float] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def count(self, workspace: str) -> int:
+        return self._waiting.count(workspace)
+
+    def push(self, work: QueuedWork) -> None:
+        if self._waiting.count(work.workspace) == 0:
+            # A workspace that did not wait keeps no credit from the past.
+            tag = self._finish_tags.get(work.workspace, 0.0)
+            self._finish_tags[work.workspace] = max(tag, self._virtual_time)
+        self._waiting.push(work)
+
+    def pop(self, now: float) -> QueuedWork | None:
+        work = min(
+            self._waiting.list_heads(),
+            key=lambda item: (self._finish_tags[item.workspace], item.queued_at),
+            default=None,
+        )
+        if work is None:
+            return None
+        self._waiting.remove(work.workspace, work.request_id)
+        start_tag = self._finish_tags[work.workspace]
+        self._virtual_time = max(self._virtual_time, start_tag)
+        cost = self._times.estimate(work.workspace)
+        self._finish_tags[work.workspace] = start_tag + self._scale(
+            work.workspace, cost
+        )
+        return work
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        return self._waiting.remove(workspace, request_id)
+
+    def charge(
+        self, workspace: str, expected_seconds: float, service_seconds: float
+    ) -> None:
+        difference = self._scale(workspace, service_seconds - expected_seconds)
+        tag = self._finish_tags.get(workspace, self._virtual_time)
+        self._finish_tags[workspace] = tag + difference
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        self._weights = weights
+
+    def _scale(self, workspace: str, seconds: float) -> float:
+        return seconds / max(self._weights.get(workspace, 1.0), 1e-6)
+
+
+class Ageing:
+    """Serves the request with the highest waiting time over expected time.
+
+    After the penalty scheduling policy of N. Rocchetti, M. Da Silva, S. Nesmachnow and
+    A. Tchernykh, "Penalty Scheduling Policy Applying User Estimates and Aging for
+    Supercomputing Centers": the priority of a job grows with its waiting time divided
+    by its estimated time, so that short jobs pass long ones but none starves.
+
+    :param times: smoothed service times, in place of users' estimates.
+    """
+
+    def __init__(self, times: ServiceTimes) -> None:
+        self._times = times
+        self._waiting = WorkspaceQueues()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def count(self, workspace: str) -> int:
+        return self._waiting.count(workspace)
+
+    def push(self, work: QueuedWork) -> None:
+        self._waiting.push(work)
+
+    def pop(self, now: float) -> QueuedWork | None:
+        work = max(
+            self._waiting.list_heads(),
+            key=lambda item: (
+                (now - item.queued_at) / self._times.estimate(item.workspace)
+            ),
+            default=None,
+        )
+        if work is not None:
+            self._waiting.remove(work.workspace, work.request_id)
+        return work
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        return self._waiting.remove(workspace, request_id)
+
+    def charge(
+        self, workspace: str, expected_seconds: float, service_seconds: float
+    ) -> None:
+        """The order follows the smoothed service times alone."""
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """The order does not depend on weights."""
--- /dev/null
+++ b/src/sardinemill/filters/reception.py
@@ -0,0 +1,163 @@
+"""Takes requests at their home and sends the replies back to where they came from."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import replace
+
+from ..control import (
+    DrainStarted,
+    ForwardedCancellation,
+    ForwardedReply,
+    ForwardedRequest,
+    GroupsChanged,
+    PeerEnvelope,
+)
+from ..errors import Outcome
+from ..interfaces import Emission
+from ..messages import (
+    Action,
+    Answer,
+    Cancellation,
+    Refusal,
+    RefusalCode,
+    Reply,
+    Request,
+)
+
+STEP = "reception"
+# Ids are remembered for longer than any copy of a request can be under way: sockets
+# that stay silent for a few seconds are replaced, and their queues are discarded.
+REMEMBER_SECONDS = 60.0
+
+_BOUND_ACTIONS = frozenset(
+    {Action.TRANSACTION_STATEMENT, Action.COMMIT, Action.ROLLBACK}
+)
+
+
+class Reception:
+    """Filter at the home: forwarded request to request, reply to its entry.
+
+    Outlets: ``next`` for :class:`Request` and :class:`Cancellation`, ``placement`` for
+    replies to this process, ``peers`` for replies to other entries.
+
+    A request id runs at most once, whatever the peer link repeats or reorders.
+
+    :param instance: own name.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._groups: frozenset[str] = frozenset()
+        self._is_draining = False
+        self._entries: dict[str, str] = {}
+        self._seen: set[str] = set()
+        self._expiries: deque[tuple[float, str]] = deque()
+
+    @property
+    def next_tick(self) -> float | None:
+        return self._expiries[0][0] if self._expiries else None
+
+    @property
+    def n_pending(self) -> int:
+        """Requests that wait for a reply."""
+        return len(self._entries)
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, Request):
+            return self._accept(message, self._instance, now)
+        if isinstance(message, PeerEnvelope):
+            return self._handle_envelope(message, now)
+        if isinstance(message, Answer | Refusal):
+            return self._reply(message)
+        if isinstance(message, Cancellation):
+            return self._cancel(message.request_id, self._instance, now)
+        if isinstance(message, GroupsChanged):
+            self._groups = frozenset(group.name for group in message.groups)
+        elif isinstance(message, DrainStarted):
+            self._is_draining = True
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        while self._expiries and self._expiries[0][0] <= now:
+            _, request_id = self._expiries.popleft()
+            self._seen.discard(request_id)
+            self._entries.pop(request_id, None)
+        return ()
+
+    def _handle_envelope(
+        self, envelope: PeerEnvelope, now: float
+    ) -> Sequence[Emission]:
+        message = envelope.message
+        if isinstance(message, ForwardedRequest):
+            deadline = now + message.remaining_seconds
+            request = replace(message.request, deadline=deadline)
+            return self._accept(request, envelope.peer, now)
+        if isinstance(message, ForwardedCancellation):
+            return self._cancel(message.request_id, envelope.peer, now)
+        return ()
+
+    def _accept(self, request: Request, entry: str, now: float) -> Sequence[Emission]:
+        if not self._remember(request.request_id, request.deadline, now):
+            return ()
+        self._entries[request.request_id] = entry
+        refusal = self._check(request, now)
+        if refusal is not None:
+            return self._reply(refusal)
+        return (Emission("next", request),)
+
+    def _remember(self, request_id: str, deadline: float, now: float) -> bool:
+        """Note an id.
+
+        :returns: ``False`` when it is known, so the request must not run again.
+        """
+        if request_id in self._seen:
+            return False
+        self._seen.add(request_id)
+        # The order of the queue is by expiry as far as requests have similar
+        # time-outs; a longer one only delays the removal of those behind it.
+        expiry = max(deadline, now) + REMEMBER_SECONDS
+        self._expiries.append((expiry, request_id))
+        return True
+
+    def _check(self, request: Request, now: float) -> Refusal | None:
+        if request.deadline <= now:
+            return self._refuse(request, RefusalCode.DEADLINE, "the deadline passed")
+        if request.action in _BOUND_ACTIONS:
+            return None
+        if self._is_draining:
+            return self._refuse(
+                request, RefusalCode.DRAINING, "the home instance is stopping"
+            )
+        if request.group not in self._groups:
+            return self._refuse(
+                request, RefusalCode.NO_HOME, "not a home instance of the group"
+            )
+        return None
+
+    def _refuse(self, request: Request, code: RefusalCode, text: str) -> Refusal:
+        return Refusal(
+            request_id=request.request_id,
+            code=code,
+            outcome=Outcome.NOT_RUN,
+            step=STEP,
+            peer=self._instance,
+            message=text,
+            retry_after_seconds=None if code is RefusalCode.DEADLINE else 1.0,
+        )
+
+    def _cancel(self, request_id: str, entry: str, now: float) -> Sequence[Emission]:
+        # A cancellation may overtake its request, which must then not start.
+        self._remember(request_id, now, now)
+        if self._entries.get(request_id) != entry:
+            return ()
+        del self._entries[request_id]
+        return (Emission("next", Cancellation(request_id=request_id)),)
+
+    def _reply(self, reply: Reply) -> Sequence[Emission]:
+        entry = self._entries.pop(reply.request_id, None)
+        if entry is None:
+            return ()
+        if entry == self._instance:
+            return (Emission("placement", reply),)
+        message = ForwardedReply(reply=reply)
+        return (Emission("peers", PeerEnvelope(peer=entry, message=message)),)
--- /dev/null
+++ b/src/sardinemill/filters/transactions.py
@@ -0,0 +1,130 @@
+"""Open transactions of one home: order of statements and idle time-out."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..messages import Action, RefusalCode, Request, RoutedRequest
+from ..positions import ORIGIN
+from .queueing import QueuedWork
+
+# The databases roll back after 15 s without a statement; the home comes first, so that
+# callers get a typed answer.
+IDLE_SECONDS = 10.0
+
+BOUND_ACTIONS = frozenset(
+    {Action.TRANSACTION_STATEMENT, Action.COMMIT, Action.ROLLBACK}
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionStart:
+    """What a begin fixed for the whole transaction.
+
+    :param expected_term: term of the primary at the begin.
+    :param expected_seconds: cost that the queue policy assumed.
+    :param started_at: monotonic seconds.
+    """
+
+    transaction_id: str
+    key_id: str
+    workspace: str
+    database: str
+    expected_term: int
+    expected_seconds: float
+    started_at: float
+
+
+class OpenTransaction:
+    """Transaction with its statements in order, at most one of them running.
+
+    :param start: what the begin fixed.
+    """
+
+    def __init__(self, start: TransactionStart) -> None:
+        self.start = start
+        self.waiting: OrderedDict[str, QueuedWork] = OrderedDict()
+        self.running: str | None = None
+        self.is_ending = False
+        self.idle_at = start.started_at + IDLE_SECONDS
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no statement runs or waits."""
+        return self.running is None and not self.waiting
+
+    def take_next(self) -> QueuedWork | None:
+        """Remove the oldest statement if none is running."""
+        if self.running is not None or not self.waiting:
+            return None
+        _, work = self.waiting.popitem(last=False)
+        return work
+
+
+def is_end(action: Action, failure_code: RefusalCode | None) -> bool:
+    """Tell whether a statement with this outcome ended its transaction.
+
+    A statement that the database rejected leaves the transaction open; every other
+    failure closes its connection.
+    """
+    if action in (Action.COMMIT, Action.ROLLBACK):
+        return True
+    return failure_code is not None and failure_code is not RefusalCode.STATEMENT
+
+
+def make_rollback(start: TransactionStart, deadline: float) -> RoutedRequest:
+    """Make the rollback of an abandoned transaction.
+
+    :param deadline: monotonic seconds.
+    """
+    return RoutedRequest(
+        request=Request(
+            request_id=f"{start.transaction_id}/rollback",
+            action=Action.ROLLBACK,
+            workspace=start.workspace,
+            key_id=start.key_id,
+            group="",
+            statement=None,
+            transaction_id=start.transaction_id,
+            deadline=deadline,
+        ),
+        database=start.database,
+        requirement=ORIGIN,
+        is_replica=False,
+        expected_term=start.expected_term,
+    )
+
+
+class TransactionTable:
+    """Open transactions by id."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, OpenTransaction] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def add(self, start: TransactionStart) -> OpenTransaction:
+        """Note a transaction whose begin succeeded."""
+        transaction = OpenTransaction(start)
+        self._open[start.transaction_id] = transaction
+        return transaction
+
+    def get(self, transaction_id: str | None) -> OpenTransaction | None:
+        """Return a transaction, also one that is ending."""
+        return self._open.get(transaction_id or "")
+
+    def find_usable(self, request: Request) -> OpenTransaction | None:
+        """Return the transaction that a statement may join."""
+        transaction = self.get(request.transaction_id)
+        if transaction is None or transaction.is_ending:
+            return None
+        if transaction.start.workspace != request.workspace:
+            return None
+        return transaction
+
+    def remove(self, transaction: OpenTransaction) -> Iterator[QueuedWork]:
+        """Forget a transaction and return the statements that never ran."""
+        del self._open[transaction.start.transaction_id]
+        while transaction.waiting:
+            yield transaction.waiting.popitem(last=False)[1]
--- a/src/sardinemill/messages.py
+++ b/src/sardinemill/messages.py
@@ -144,6 +144,7 @@
     :param requirement: lowest log position that the database must hold.
     :param is_replica: whether the database was a replica when it was chosen.
     :param n_attempts: databases tried before this one.
+    :param expected_term: term of the primary that a write was routed to, 0 for reads.
     """
 
     request: Request
@@ -151,6 +152,7 @@
     requirement: LogPosition
     is_replica: bool
     n_attempts: int = 0
+    expected_term: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,6 +196,7 @@
     :param is_primary: role of the database when it answered.
     :param is_repeat: whether the answer was stored by an earlier run under the same
         idempotency key.
+    :param transaction_id: set by the pool for a begin.
     """
 
     call_id: str
@@ -203,6 +206,7 @@
     position: LogPosition = ORIGIN
     is_primary: bool = False
     is_repeat: bool = False
+    transaction_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/pipeline.py
+++ b/src/sardinemill/pipeline.py
@@ -163,6 +163,7 @@
 
     def _refuse(self, emission: Emission) -> None:
         refusal = refuse_overloaded(emission.message, emission.outlet)
-        reply = self._outlets.get("reply")
+        # A filter that keeps pending requests takes the refusal back itself.
+        reply = self._outlets.get("refused", self._outlets.get("reply"))
         if refusal is not None and reply is not None:
             reply.offer(refusal)
