--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -47,6 +47,8 @@
     PRIMARY_LEARNED = EventKind(306, "info", "Learn: a primary of a higher term.")
     FAILOVER_ABANDONED = EventKind(
         307, "warning", "An attempt at failover ended without a new primary."
+    )
+
     # 4xx rate limits
     SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
     SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
@@ -57,6 +59,8 @@
     LEASE_RECORD_INVALID = EventKind(407, "error", "A lease object is not readable.")
     OWNER_UNREACHABLE = EventKind(
         408, "warning", "Requests were refused because no shard owner answered."
+    )
+
     # 5xx configuration and keys
     CONFIGURATION_ADOPTED = EventKind(
         501, "info", "A higher configuration version is in force at this instance."
@@ -86,6 +90,24 @@
         509, "warning", "The configuration has not been confirmed within the limit."
     )
 
+    # 2xx requests: placement, scheduling and transactions
+    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
+    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
+
+    # 6xx membership and peers
+    INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
+    INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
+    INSTANCE_LIST_FAILED = EventKind(
+        603, "warning", "The platform's list of instances could not be read."
+    )
+    PEER_MESSAGE_DROPPED = EventKind(
+        604, "warning", "A peer message was malformed, foreign or met a full queue."
+    )
+    PEER_LINK_REPLACED = EventKind(
+        605, "info", "The socket to a silent peer was replaced."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
