--- /dev/null
+++ b/src/sardinemill/composition.py
@@ -0,0 +1,413 @@
+"""Composition root: makes the parts of one instance and binds their outlets."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from . import control
+from .adapters.documents import MessagePackDocuments
+from .adapters.frontend import HttpFrontEnd
+from .adapters.pool import PoolSet
+from .adapters.prober import Prober
+from .adapters.store_task import StoreTask
+from .application import Application, Part, TaskPart
+from .draining import DrainPart
+from .events import Event, EventName
+from .filters.acknowledgement import Acknowledgement
+from .filters.admission import Admission
+from .filters.authentication import (
+    Authentication,
+    AvailableKeyPolicy,
+    KeyPolicy,
+    StrictKeyPolicy,
+)
+from .filters.classification import Classification
+from .filters.detection import (
+    AccrualDetector,
+    FailureDetector,
+    ObserverDetector,
+    TimeoutDetector,
+)
+from .filters.distribution import Distribution
+from .filters.failover import Failover
+from .filters.homes import Homes
+from .filters.leasing import Leasing
+from .filters.lending import Lending
+from .filters.membership import Membership
+from .filters.placement import Placement
+from .filters.queueing import (
+    Ageing,
+    FirstInFirstOut,
+    QueuePolicy,
+    ServiceTimes,
+    WeightedFairQueueing,
+)
+from .filters.reception import Reception
+from .filters.routing import Routing
+from .filters.scheduling import Scheduling
+from .groups import Address
+from .interfaces import (
+    Clock,
+    Emission,
+    Filter,
+    Outlet,
+    PeerLink,
+    RandomSource,
+    Store,
+    UpstreamConnector,
+)
+from .limits import LimitSettings
+from .outlets import EnvelopeRouter, FanOut, TypeRouter
+from .pipeline import Stage
+from .records import JsonLeaseCodec
+from .settings import Settings
+from .status import StatusBoard
+from .tokens import TokenSigner
+
+KEY_POLICIES: Mapping[str, Callable[[], KeyPolicy]] = {
+    "strict": StrictKeyPolicy,
+    "available": AvailableKeyPolicy,
+}
+DETECTORS: Mapping[str, Callable[[], FailureDetector]] = {
+    "timeout": TimeoutDetector,
+    "observers": lambda: ObserverDetector(TimeoutDetector()),
+    "accrual": AccrualDetector,
+}
+QUEUE_POLICIES: Mapping[str, Callable[[ServiceTimes], QueuePolicy]] = {
+    "fifo": FirstInFirstOut,
+    "fair": WeightedFairQueueing,
+    "ageing": Ageing,
+}
+
+
+class PeerLinkPart(PeerLink, Part, Protocol):
+    """Peer link with the life cycle of a part."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Edges:
+    """Adapters that reach outside the process.
+
+    :param events: receives log events.
+    :param make_peer_link: makes the link, given the receiver of envelopes.
+    :param parts: adapters with a life cycle, started before everything else.
+    """
+
+    clock: Clock
+    random_source: RandomSource
+    store: Store
+    connector: UpstreamConnector
+    events: Outlet
+    make_peer_link: Callable[[Outlet], PeerLinkPart]
+    parts: tuple[Part, ...] = ()
+
+
+class Instance:
+    """Wired parts of one instance.
+
+    :ivar application: starts and stops all parts.
+    :ivar front_end: listener for callers.
+    """
+
+    def __init__(self, settings: Settings, edges: Edges) -> None:
+        self.data_centre = settings.data_centre
+        self._settings = settings
+        self._edges = edges
+        self._stages: dict[str, Stage] = {}
+        self._make_stages()
+        self._router = EnvelopeRouter(self._route_envelopes())
+        self._link = edges.make_peer_link(self._router)
+        self._board = StatusBoard(settings.name, settings.data_centre)
+        self.front_end = self._make_front_end()
+        self._configuration = FanOut()
+        self._groups = FanOut()
+        self._news = FanOut()
+        self._adapters = self._make_adapters()
+        self._bind_request_path()
+        self._bind_control_path()
+        self.application = Application(self._list_parts())
+
+    # Parts
+
+    def _make_stages(self) -> None:
+        settings, random = self._settings, self._edges.random_source
+        name, data_centre = settings.name, settings.data_centre
+        make_policy = KEY_POLICIES[settings.key_policy]
+        limits = LimitSettings()
+        info = control.InstanceInfo(
+            name=name,
+            data_centre=data_centre,
+            peer_address=Address(settings.peer_host, settings.peer_port),
+            front_address=Address(settings.front_host, settings.front_port),
+        )
+        incarnation = random.make_id()
+        steps: dict[str, Filter] = {
+            "authentication": Authentication(make_policy()),
+            "classification": Classification(),
+            "admission": Admission(name, limits, random),
+            "placement": Placement(name, data_centre),
+            "reception": Reception(name),
+            "routing": Routing(),
+            "scheduling": Scheduling(
+                make_policy(), QUEUE_POLICIES[settings.queue_policy]
+            ),
+            "acknowledgement": Acknowledgement(),
+            "homes": Homes(name),
+            "failover": Failover(
+                name, incarnation, DETECTORS[settings.detector](), random
+            ),
+            "lending": Lending(name, limits),
+            "leasing": Leasing(name, limits, JsonLeaseCodec(), random),
+            "distribution": Distribution(
+                name=name,
+                data_centre=data_centre,
+                codec=MessagePackDocuments(),
+                random=random,
+            ),
+            "membership": Membership(info, incarnation, random),
+        }
+        for step, decision in steps.items():
+            self._stages[step] = Stage(
+                step, decision, self._edges.clock, on_unbound=self._report_unbound
+            )
+
+    def _make_front_end(self) -> HttpFrontEnd:
+        settings = self._settings
+        return HttpFrontEnd(
+            settings.front_host,
+            settings.front_port,
+            pipeline=self._stages["authentication"],
+            board=self._board,
+            signer=TokenSigner(settings.fleet_secret),
+            clock=self._edges.clock,
+            random_source=self._edges.random_source,
+            drain_seconds=settings.drain_seconds,
+        )
+
+    def _make_adapters(self) -> dict[str, Part]:
+        edges, stages = self._edges, self._stages
+        control_news = TypeRouter(
+            {
+                control.DatabaseReport: self._news,
+                control.ReportFailure: self._news,
+            },
+            default=stages["failover"],
+        )
+        return {
+            "pools": PoolSet(
+                self._settings.name,
+                edges.connector,
+                edges.clock,
+                edges.random_source,
+                stages["scheduling"],
+            ),
+            "prober": Prober(
+                edges.connector, edges.clock, edges.random_source, control_news
+            ),
+            **{
+                f"{step} store": StoreTask(edges.store, stages[step], edges.clock)
+                for step in ("distribution", "leasing", "membership")
+            },
+        }
+
+    def _list_parts(self) -> list[Part]:
+        announcement = FanOut(
+            [
+                self._stages[step]
+                for step in (
+                    "membership",
+                    "reception",
+                    "admission",
+                    "leasing",
+                    "scheduling",
+                )
+            ]
+        )
+        announcement.add(self._board_outlet())
+        drain = DrainPart(
+            self.front_end, announcement, self._edges.clock, self._edges.events
+        )
+        for step in ("reception",):
+            self._stages[step].bind({"drain": drain})
+        return [
+            *self._edges.parts,
+            self._link,
+            *self._adapters.values(),
+            *(TaskPart(name, stage) for name, stage in self._stages.items()),
+            drain,
+        ]
+
+    # Wiring
+
+    def _bind(self, step: str, outlets: Mapping[str, Outlet]) -> None:
+        self._stages[step].bind({"events": self._edges.events, **outlets})
+
+    def _bind_request_path(self) -> None:
+        stages = self._stages
+        replies = self.front_end
+        link = self._link
+        for step, follower in (
+            ("authentication", "classification"),
+            ("classification", "admission"),
+        ):
+            self._bind(step, {"next": stages[follower], "reply": replies})
+        self._bind(
+            "admission",
+            {
+                "next": stages["placement"],
+                "reply": replies,
+                "peers": link,
+                "leasing": stages["leasing"],
+            },
+        )
+        self._bind(
+            "placement",
+            {"home": stages["reception"], "peers": link, "reply": replies},
+        )
+        self._bind(
+            "reception",
+            {
+                "next": stages["routing"],
+                "placement": stages["placement"],
+                "peers": link,
+            },
+        )
+        self._bind(
+            "routing",
+            {
+                "next": stages["scheduling"],
+                "executed": stages["acknowledgement"],
+                "probe": self._prober,
+                "reply": stages["reception"],
+            },
+        )
+        self._bind(
+            "scheduling",
+            {
+                "execution": self._pools,
+                "executed": stages["routing"],
+                "routing": stages["routing"],
+                "reply": stages["reception"],
+            },
+        )
+        self._bind(
+            "acknowledgement", {"reply": stages["reception"], "probe": self._prober}
+        )
+
+    def _bind_control_path(self) -> None:
+        stages, link = self._stages, self._link
+        membership = FanOut([link, self._board_outlet()])
+        membership.add(
+            *(
+                stages[step]
+                for step in (
+                    "placement",
+                    "homes",
+                    "distribution",
+                    "admission",
+                    "lending",
+                    "leasing",
+                )
+            )
+        )
+        self._configuration.add(
+            *(
+                stages[step]
+                for step in (
+                    "authentication",
+                    "scheduling",
+                    "admission",
+                    "lending",
+                    "placement",
+                    "homes",
+                    "membership",
+                )
+            ),
+            self._board_outlet(),
+        )
+        self._groups.add(
+            *(
+                stages[step]
+                for step in (
+                    "reception",
+                    "routing",
+                    "scheduling",
+                    "acknowledgement",
+                    "failover",
+                )
+            ),
+            self._pools,
+            self._prober,
+            self._board_outlet(),
+        )
+        self._news.add(stages["routing"], stages["acknowledgement"], stages["failover"])
+        primary = FanOut(
+            [stages["routing"], stages["acknowledgement"], self._board_outlet()]
+        )
+        self._bind("homes", {"groups": self._groups})
+        self._bind(
+            "failover", {"probe": self._prober, "primary": primary, "peers": link}
+        )
+        self._bind("lending", {"peers": link, "leasing": stages["leasing"]})
+        self._bind(
+            "leasing",
+            {
+                "store": self._store_task("leasing"),
+                "lending": stages["lending"],
+                "admission": stages["admission"],
+            },
+        )
+        self._bind(
+            "distribution",
+            {
+                "store": self._store_task("distribution"),
+                "peers": link,
+                "configuration": self._configuration,
+            },
+        )
+        self._bind(
+            "membership",
+            {
+                "store": self._store_task("membership"),
+                "peers": link,
+                "membership": membership,
+            },
+        )
+
+    def _route_envelopes(self) -> dict[type, Outlet]:
+        stages = self._stages
+        routes = {
+            "reception": (control.ForwardedRequest, control.ForwardedCancellation),
+            "placement": (control.ForwardedReply,),
+            "lending": (
+                control.BorrowRequest,
+                control.LoanReturn,
+                control.ReservePledge,
+            ),
+            "admission": (control.Loan, control.ReserveQuery),
+            "failover": (control.PrimaryChanged, control.PrimaryOpinion),
+            "distribution": (control.VersionQuery, control.VersionAnswer),
+            "membership": (control.Heartbeat, control.InstanceList),
+        }
+        return {kind: stages[step] for step, kinds in routes.items() for kind in kinds}
+
+    @property
+    def _pools(self) -> Outlet:
+        return self._adapters["pools"]  # type: ignore[return-value]
+
+    @property
+    def _prober(self) -> Outlet:
+        return self._adapters["prober"]  # type: ignore[return-value]
+
+    def _store_task(self, step: str) -> Outlet:
+        return self._adapters[f"{step} store"]  # type: ignore[return-value]
+
+    def _board_outlet(self) -> Outlet:
+        return self.front_end
+
+    def _report_unbound(self, emission: Emission) -> None:
+        fields = {
+            "outlet": emission.outlet,
+            "message_type": type(emission.message).__name__,
+        }
+        self._edges.events.offer(Event(EventName.OUTLET_UNBOUND, fields))
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -428,6 +428,13 @@
     """This instance was asked to stop; it takes no new work from now on."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainFinished:
+    """A step has no work left after :class:`DrainStarted`; may be repeated."""
+
+    step: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceList:
     """Platform's list of instances, passed on inside a data centre."""
--- a/src/sardinemill/filters/reception.py
+++ b/src/sardinemill/filters/reception.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from ..control import (
+    DrainFinished,
     DrainStarted,
     ForwardedCancellation,
     ForwardedReply,
@@ -38,7 +39,7 @@
     """Filter at the home: forwarded request to request, reply to its entry.
 
     Outlets: ``next`` for :class:`Request` and :class:`Cancellation`, ``placement`` for
-    replies to this process, ``peers`` for replies to other entries.
+    replies to this process, ``peers`` for replies to other entries, ``drain``.
 
     A request id runs at most once, whatever the peer link repeats or reorders.
 
@@ -75,6 +76,7 @@
             self._groups = frozenset(group.name for group in message.groups)
         elif isinstance(message, DrainStarted):
             self._is_draining = True
+            return self._finish_drain()
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -82,7 +84,7 @@
             _, request_id = self._expiries.popleft()
             self._seen.discard(request_id)
             self._entries.pop(request_id, None)
-        return ()
+        return self._finish_drain()
 
     def _handle_envelope(
         self, envelope: PeerEnvelope, now: float
@@ -151,13 +153,20 @@
         if self._entries.get(request_id) != entry:
             return ()
         del self._entries[request_id]
-        return (Emission("next", Cancellation(request_id=request_id)),)
+        cancellation = Cancellation(request_id=request_id)
+        return (Emission("next", cancellation), *self._finish_drain())
 
     def _reply(self, reply: Reply) -> Sequence[Emission]:
         entry = self._entries.pop(reply.request_id, None)
         if entry is None:
             return ()
         if entry == self._instance:
-            return (Emission("placement", reply),)
-        message = ForwardedReply(reply=reply)
-        return (Emission("peers", PeerEnvelope(peer=entry, message=message)),)
+            return (Emission("placement", reply), *self._finish_drain())
+        envelope = PeerEnvelope(peer=entry, message=ForwardedReply(reply=reply))
+        return (Emission("peers", envelope), *self._finish_drain())
+
+    def _finish_drain(self) -> Sequence[Emission]:
+        """Report that no reply is owed to anyone any more."""
+        if self._is_draining and not self._entries:
+            return (Emission("drain", DrainFinished(step=STEP)),)
+        return ()
--- /dev/null
+++ b/tests/memory_fleet.py
@@ -0,0 +1,187 @@
+"""Fleet of whole instances in one process, over stand-ins in memory."""
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+
+from sardinemill.adapters.clocks import SeededRandom, SystemClock
+from sardinemill.adapters.documents import MessagePackDocuments
+from sardinemill.adapters.memory_peers import MemoryHub, MemoryPeerLink
+from sardinemill.adapters.memory_store import MemoryStore
+from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
+from sardinemill.composition import Edges, Instance
+from sardinemill.configuration import Key, Plan, Workspace, hash_key
+from sardinemill.control import InstanceInfo
+from sardinemill.documents import HEAD_NAME, Head, Part, name_part_object
+from sardinemill.groups import Address, DatabaseDescription, GroupDescription
+from sardinemill.settings import Settings
+
+DATA_CENTRES = ("north", "south")
+DATABASES = ("hives-0", "hives-1", "hives-2")
+GROUP = GroupDescription(
+    name="hives",
+    n_slots=3,
+    databases=tuple(
+        DatabaseDescription(
+            name=name,
+            group="hives",
+            slot=slot,
+            data_centre=DATA_CENTRES[slot % 2],
+            address=Address("127.0.0.1", 1),
+            n_connections=16,
+        )
+        for slot, name in enumerate(DATABASES)
+    ),
+)
+WORKSPACES = ("bees", "books")
+
+
+def make_parts() -> dict[str, Part]:
+    return {
+        "plans": Part(
+            plans=(
+                Plan(name="small", rate_per_second=200, burst=100),
+                Plan(name="tiny", rate_per_second=0.01, burst=5),
+            )
+        ),
+        "workspaces": Part(
+            workspaces=(
+                Workspace(name="bees", plan="small", group="hives"),
+                Workspace(name="books", plan="tiny", group="hives"),
+            )
+        ),
+        "keys": Part(
+            keys=tuple(
+                Key(key_id=f"k-{name}", workspace=name, digest=hash_key(f"key {name}"))
+                for name in WORKSPACES
+            )
+        ),
+        "groups": Part(groups=(GROUP,)),
+    }
+
+
+class EventList:
+    """Keeps events for the test."""
+
+    def __init__(self) -> None:
+        self.events: list[object] = []
+
+    def offer(self, message: object) -> bool:
+        self.events.append(message)
+        return True
+
+
+class MemoryFleet:
+    """Instances, one database group and the platform in this process."""
+
+    def __init__(self, n_instances: int = 3) -> None:
+        self.clock = SystemClock()
+        self.random = SeededRandom(7)
+        self.group = MemoryGroup("hives", DATABASES)
+        self.connector = MemoryConnector([self.group], self.clock)
+        self.store = MemoryStore(clock=self.clock)
+        self.hub = MemoryHub(self.clock, self.random)
+        self.events = EventList()
+        self.is_replicating = True
+        self.instances: dict[str, Instance] = {}
+        for number in range(n_instances):
+            self._add_instance(f"i{number}", DATA_CENTRES[number % 2])
+
+    def _add_instance(self, name: str, data_centre: str) -> None:
+        settings = Settings(
+            name=name,
+            data_centre=data_centre,
+            front_port=0,
+            peer_port=1,
+            fleet_secret=b"f" * 32,
+            drain_seconds=0.0,
+        )
+        edges = Edges(
+            clock=self.clock,
+            random_source=self.random,
+            store=self.store,
+            connector=self.connector,
+            events=self.events,
+            make_peer_link=lambda sink: MemoryPeerLink(name, self.hub, sink),
+        )
+        self.instances[name] = Instance(settings, edges)
+
+    def url(self, name: str) -> str:
+        return f"http://127.0.0.1:{self.instances[name].front_end.port}/v1"
+
+    async def put_configuration(self, parts: dict[str, Part], version: int) -> None:
+        codec = MessagePackDocuments()
+        for name, part in parts.items():
+            await self.store.put(
+                name_part_object(name, str(version)),
+                codec.encode_part(part),
+                expected_version=0,
+            )
+        head = Head(version=version, parts=dict.fromkeys(parts, str(version)))
+        current = await self.store.get(HEAD_NAME)
+        await self.store.put(
+            HEAD_NAME, codec.encode_head(head), expected_version=current.version
+        )
+
+    async def replicate(self) -> None:
+        while True:
+            if self.is_replicating:
+                self.group.replicate_all()
+            await asyncio.sleep(0.002)
+
+    async def run(self, scenario) -> object:
+        """Start everything, run ``scenario(fleet, client)``, stop everything."""
+        await self.put_configuration(make_parts(), 1)
+        for name, instance in self.instances.items():
+            self.store.platform.instances.change(
+                name,
+                InstanceInfo(
+                    name=name,
+                    data_centre=instance.data_centre,
+                    peer_address=Address("127.0.0.1", 1),
+                    front_address=Address("127.0.0.1", 1),
+                ),
+                self.clock.now(),
+            )
+        replication = asyncio.create_task(self.replicate())
+        started: Sequence[Instance] = list(self.instances.values())
+        for instance in started:
+            await instance.application.start()
+        try:
+            async with aiohttp.ClientSession() as client:
+                for name in self.instances:
+                    await self.wait_ready(client, name)
+                return await scenario(self, client)
+        finally:
+            failures = []
+            for instance in started:
+                failures += await instance.application.stop()
+            replication.cancel()
+            assert failures == []
+
+    async def wait_ready(self, client, name: str) -> None:
+        for _ in range(500):
+            async with client.get(f"{self.url(name)}/ready") as response:
+                if response.status == 200:
+                    return
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"{name} is not ready")
+
+
+async def post(client, url, sql, parameters=(), *, key="key bees", **headers):
+    """Send a statement.
+
+    :returns: status, document and session token.
+    """
+    all_headers = {
+        "Authorization": f"Bearer {key}",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    async with client.post(
+        f"{url}/statement",
+        json={"sql": sql, "parameters": list(parameters)},
+        headers=all_headers,
+    ) as response:
+        token = response.headers.get("Session-Token", "")
+        return response.status, await response.json(), token
--- /dev/null
+++ b/tests/test_composition.py
@@ -0,0 +1,77 @@
+"""Whole instances in one process: the request path and its promises together."""
+
+import asyncio
+
+from memory_fleet import MemoryFleet, post
+
+
+async def create_table(client, url):
+    """Create the table; a new fleet has no lending owners at first."""
+    for _ in range(100):
+        status, document, _ = await post(client, url, "create table t (n integer)")
+        if status == 200:
+            return
+        assert document["outcome"] == "not run", document
+        await asyncio.sleep(0.1)
+    raise AssertionError(document)
+
+
+def test_session_roams_between_instances_and_keys_stay_apart():
+    """Guards against stale reads after roaming and against foreign sessions."""
+
+    async def scenario(fleet, client):
+        urls = [fleet.url(name) for name in fleet.instances]
+        await create_table(client, urls[0])
+        token = ""
+        for number in range(1, 21):
+            headers = {"Session_Token": token} if token else {}
+            status, document, token = await post(
+                client,
+                urls[number % 3],
+                "insert into t values (?)",
+                [number],
+                **headers,
+            )
+            assert status == 200, document
+            status, document, _ = await post(
+                client,
+                urls[(number + 1) % 3],
+                "select max(n) from t",
+                Session_Token=token,
+                Accept_Staleness="5",
+            )
+            assert (status, document["rows"]) == (200, [[number]]), document
+        status, document, _ = await post(
+            client, urls[0], "select 1", key="key books", Session_Token=token
+        )
+        assert (status, document["outcome"]) == (403, "not run")
+        status, document, _ = await post(client, urls[0], "select 1", key="other")
+        assert (status, document["outcome"]) == (401, "not run")
+
+    asyncio.run(MemoryFleet().run(scenario))
+
+
+def test_acknowledged_writes_survive_a_change_of_primary():
+    """Guards against a lost acknowledged write when the primary goes away."""
+
+    async def scenario(fleet, client):
+        urls = [fleet.url(name) for name in fleet.instances]
+        await create_table(client, urls[0])
+        acknowledged = []
+        for number in range(60):
+            if number == 20:
+                fleet.connector.unreachable.add("hives-0")
+            status, document, _ = await post(
+                client, urls[number % 3], "insert into t values (?)", [number]
+            )
+            if status == 200:
+                acknowledged.append(number)
+        assert len(acknowledged) > 40
+        status, document, _ = await post(client, urls[0], "select n from t")
+        assert status == 200, document
+        assert document["served_by"] != "hives-0"
+        present = [row[0] for row in document["rows"]]
+        assert set(acknowledged) <= set(present)
+        assert len(present) == len(set(present))
+
+    asyncio.run(MemoryFleet().run(scenario))
