Test the group rules with whole elections as steps

Cause: the first version used hypothesis' rule-based state machine.

Now each example is a list of 25 steps from a weighted table; an election is one step.

--- a/tests/test_emulator_database.py
+++ b/tests/test_emulator_database.py
@@ -1,9 +1,10 @@
 """Rules of a database group: terms, fences, promotion, transactions, idempotency."""
 
+from itertools import permutations, product
+
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sardinemill.adapters.memory_upstream import MemoryGroup
 from sardinemill.control import FenceOrder, PromoteOrder
@@ -25,6 +26,7 @@
 from sardinemill.positions import LogPosition
 
 NAMES = ("a", "b", "c")
+ORDERERS = ("north", "south")
 N_MAJORITY = 2
 
 
@@ -51,147 +53,130 @@
     return [row[0] for row in rows]
 
 
-class GroupRules(RuleBasedStateMachine):
+class GroupHistory:
     """Three databases, two orderers and a network that delivers what it likes.
 
     ``acknowledged`` holds each write that a majority held in its own term at some time.
     """
 
     def __init__(self):
-        super().__init__()
         self.group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
-        self.group.get_database("a").run(
-            1, make_call("create table hive (name text unique)"), 0.0
-        )
+        self.databases = [self.group.get_database(name) for name in NAMES]
+        self.databases[0].run(1, make_call("create table hive (name text unique)"), 0.0)
+        self.group.replicate_all()
         self.written = {}
-        self.acknowledged = {}
-        # Answers to fences: (term, orderer) -> database -> last position.
-        self.fenced = {}
-        self.promoted = {}
-        self.saved_appends = []
-        self.n_writes = 0
-
-    @rule(name=st.sampled_from(NAMES), n_writes=st.integers(1, 3))
-    def write(self, name, n_writes):
-        for _ in range(n_writes):
-            self.n_writes += 1
-            text = f"north-{self.n_writes}"
-            call = make_call("insert into hive values (?)", text)
-            try:
-                result = self.group.get_database(name).run(1, call, 0.0)
-            except UpstreamFenced as error:
-                assert error.outcome is Outcome.NOT_RUN
-                return
-            except StatementError:
-                return  # this database was promoted before the table reached it
-            self.written[text] = result.position
-
-    @rule(
-        source=st.sampled_from(NAMES),
-        receiver=st.sampled_from(NAMES),
-        n_missing=st.integers(0, 2),
-    )
-    def replicate(self, source, receiver, n_missing):
-        if source == receiver:
+        self.acknowledged = set()
+        self.terms = dict.fromkeys(ORDERERS, 0)
+        # Accepted fences: (term, orderer) -> database -> last position at that time.
+        self.votes = {}
+        self.chosen = {}
+        self.delayed = []
+
+    def write(self, n_writes):
+        """Each primary takes writes, also one that does not know its successor."""
+        for database in self._find_primaries():
+            for _ in range(n_writes):
+                text = f"north-{len(self.written)}"
+                call = make_call("insert into hive values (?)", text)
+                self.written[text] = database.run(1, call, 0.0).position
+
+    def replicate(self, index, receiver, n_missing):
+        """A primary sends its log, perhaps without the end; a copy may come late."""
+        primaries = self._find_primaries()
+        if not primaries or primaries[index % len(primaries)].name == receiver:
             return
-        last = self.group.get_database(source).position.offset - n_missing
-        self.group.replicate(source, receiver, last_offset=max(0, last))
-
-    @rule(source=st.sampled_from(NAMES), next_offset=st.integers(1, 8))
-    def save_append(self, source, next_offset):
-        sender = self.group.get_database(source)
-        last = sender.position.offset
-        if sender.is_primary and next_offset <= last + 1:
-            self.saved_appends.append(sender.member.make_append(next_offset, last))
-
-    @rule(receiver=st.sampled_from(NAMES), index=st.integers(0, 99))
-    def deliver_late(self, receiver, index):
-        if not self.saved_appends:
-            return
-        order = self.saved_appends[index % len(self.saved_appends)]
-        if order.source != receiver:
-            self.group.get_database(receiver).append(order)
-
-    @rule(
-        receiver=st.sampled_from(NAMES),
-        term=st.integers(1, 6),
-        orderer=st.sampled_from(("north", "south")),
-    )
-    def fence(self, receiver, term, orderer):
+        database = primaries[index % len(primaries)]
+        last = max(0, database.position.offset - n_missing)
+        self.delayed.append(database.member.make_append(max(1, last - 1), last))
+        self.group.replicate(database.name, receiver, last_offset=last)
+
+    def deliver_late(self, index, receiver):
+        """A copy of an earlier replication message arrives."""
+        if index < len(self.delayed):
+            order = self.delayed[-1 - index]
+            if order.source != receiver:
+                self.group.get_database(receiver).append(order)
+
+    def elect(self, orderer, receivers, is_promoting):
+        """An orderer learns a term from one database and fences some at the next."""
+        self.terms[orderer] = self.group.get_database(receivers[0]).fenced_term + 1
+        for receiver in receivers:
+            self.fence(orderer, receiver)
+        if is_promoting:
+            self.promote(orderer)
+
+    def fence(self, orderer, receiver):
+        """An orderer goes on with its election, or a fence arrives again."""
+        term = self.terms[orderer]
         order = FenceOrder(group="hives", database=receiver, term=term, orderer=orderer)
         answer = self.group.get_database(receiver).fence(order)
         if answer.accepted:
-            # The first answer decides, as for an orderer that counts each one once.
-            votes = self.fenced.setdefault((term, orderer), {})
+            votes = self.votes.setdefault((term, orderer), {})
             votes.setdefault(receiver, answer.position)
 
-    @rule(index=st.integers(0, 99))
-    def promote(self, index):
+    def promote(self, orderer):
         """An orderer with a majority promotes the best database, perhaps again."""
-        ready = sorted(
-            key for key, votes in self.fenced.items() if len(votes) >= N_MAJORITY
-        )
-        if not ready:
+        key = (self.terms[orderer], orderer)
+        votes = self.votes.get(key, {})
+        if len(votes) < N_MAJORITY:
             return
-        term, orderer = ready[index % len(ready)]
-        votes = self.fenced[(term, orderer)]
         best = max(votes, key=lambda name: (votes[name], name))
-        best = self.promoted.setdefault((term, orderer), best)
-        order = PromoteOrder(group="hives", database=best, term=term, orderer=orderer)
-        database = self.group.get_database(best)
-        answer = database.promote(order)
-        if answer.accepted:
-            assert database.is_primary and database.fenced_term == term
-            for text in self.acknowledged:
-                assert text in read_names(database)
-
-    @invariant()
-    def record_acknowledged(self):
-        reports = [self.group.get_database(name).report() for name in NAMES]
-        for text, position in self.written.items():
-            holders = [
-                report
-                for report in reports
-                if report.position.term == position.term
-                and report.position.offset >= position.offset
-            ]
-            if len(holders) >= N_MAJORITY:
-                self.acknowledged[text] = position
-
-    @invariant()
-    def check_one_primary_for_each_term(self):
-        terms = [
-            database.fenced_term
-            for database in map(self.group.get_database, NAMES)
-            if database.is_primary
-        ]
+        best = self.chosen.setdefault(key, best)
+        order = PromoteOrder(group="hives", database=best, term=key[0], orderer=orderer)
+        if self.group.get_database(best).promote(order).accepted:
+            held = read_names(self.group.get_database(best))
+            assert self.acknowledged <= set(held)
+
+    def check(self):
+        """Check the state after each step."""
+        self._record_acknowledged()
+        terms = [database.fenced_term for database in self._find_primaries()]
         assert len(terms) == len(set(terms))
-
-    @invariant()
-    def check_data_equals_log(self):
-        """Truncation must remove the effect of the entries from the tables."""
-        for name in NAMES:
-            database = self.group.get_database(name)
-            logged = sorted(
-                str(entry.statements[0].parameters[0])
+        for database in self.databases:
+            logged = [
+                entry.statements[0].parameters[0]
                 for entry in database.member.entries
                 if entry.statements and entry.statements[0].parameters
+            ]
+            # Truncation must remove the effect of the entries from the tables.
+            assert read_names(database) == sorted(logged)
+
+    def _find_primaries(self):
+        return [database for database in self.databases if database.is_primary]
+
+    def _record_acknowledged(self):
+        positions = [database.position for database in self.databases]
+        for text, position in self.written.items():
+            n_holders = sum(
+                held.term == position.term and held >= position for held in positions
             )
-            if any(entry.statements for entry in database.member.entries):
-                assert read_names(database) == logged
-
-
-TestGroupRules = GroupRules.TestCase
-TestGroupRules.__doc__ = "Guards against loss of an acknowledged write in a failover."
-TestGroupRules.settings = settings(
-    derandomize=True,
-    max_examples=300,
-    stateful_step_count=40,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
+            if n_holders >= N_MAJORITY:
+                self.acknowledged.add(text)
+
+
+STEPS = (
+    *[("write", n_writes) for n_writes in (1, 2)] * 6,
+    *[("replicate", *item) for item in product((0, 1), NAMES, (0, 1))],
+    *[("deliver_late", *item) for item in product((0, 1, 2), NAMES)],
+    *[
+        ("elect", *item)
+        for item in product(ORDERERS, permutations(NAMES, 2), (False, True))
+    ],
+    *[("fence", *item) for item in product(ORDERERS, NAMES)],
+    *[("promote", orderer) for orderer in ORDERERS] * 2,
 )
 
 
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(steps=st.lists(st.sampled_from(STEPS), min_size=25, max_size=25))
+def test_acknowledged_write_survives_every_promotion(steps):
+    """Guards against loss of an acknowledged write in a failover."""
+    history = GroupHistory()
+    for name, *arguments in steps:
+        getattr(history, name)(*arguments)
+        history.check()
+
+
 def test_transaction_is_isolated_and_undone():
     """Guards against mixed transactions, dirty reads and locks held for ever."""
     database = make_primary()
