--- a/src/sardinemill/adapters/worker.py
+++ b/src/sardinemill/adapters/worker.py
@@ -51,6 +51,8 @@
     for kind, code in _CODES:
         if isinstance(error, kind):
             return code
+    if error.code == "transaction closed":
+        return RefusalCode.UNKNOWN_TRANSACTION
     if error.code in {code.value for code in RefusalCode}:
         return RefusalCode(error.code)
     return RefusalCode.UPSTREAM
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -8,6 +8,7 @@
 
 from . import control
 from .errors import CodecError
+from .messages import Answer, Refusal
 
 WIRE_VERSION = 1
 
@@ -16,7 +17,6 @@
     for kind in (
         control.BorrowRequest,
         control.ForwardedCancellation,
-        control.ForwardedReply,
         control.ForwardedRequest,
         control.Heartbeat,
         control.InstanceList,
@@ -28,16 +28,23 @@
     )
 }
 
+# msgspec decodes no union of data classes, so a reply travels under its own type name.
+_REPLY_TYPES: dict[str, type[Answer] | type[Refusal]] = {
+    "Answer": Answer,
+    "Refusal": Refusal,
+}
+
 
 def encode_message(message: object) -> bytes:
     """Encode a message for the peer link.
 
     :raises CodecError: when the type may not leave the process.
     """
-    name = type(message).__name__
-    if name not in _WIRE_TYPES:
+    payload = message.reply if isinstance(message, control.ForwardedReply) else message
+    name = type(payload).__name__
+    if payload is message and name not in _WIRE_TYPES:
         raise CodecError(f"{name} is not a peer message", step="encode")
-    return msgspec.msgpack.encode([WIRE_VERSION, name, message])
+    return msgspec.msgpack.encode([WIRE_VERSION, name, payload])
 
 
 def decode_message(data: bytes, peer: str) -> object:
@@ -52,6 +59,9 @@
         )
         if version != WIRE_VERSION:
             raise CodecError(f"wire version {version}", step="decode", peer=peer)
+        if name in _REPLY_TYPES:
+            reply = msgspec.msgpack.decode(payload, type=_REPLY_TYPES[name])
+            return control.ForwardedReply(reply=reply)
         kind = _WIRE_TYPES.get(name)
         if kind is None:
             raise CodecError("unknown message type", step="decode", peer=peer)
--- a/src/sardinemill/filters/scheduling.py
+++ b/src/sardinemill/filters/scheduling.py
@@ -28,8 +28,7 @@
 from .authentication import Authorization, KeyPolicy
 from .calls import make_call
 from .database_queue import DatabaseQueue, LoadReports, RunningWork
-from .queueing import QueuedWork, QueuePolicy, ServiceTimes, WeightedFairQueueing
-from .transactions import (
+from .open_transactions import (
     BOUND_ACTIONS,
     IDLE_SECONDS,
     OpenTransaction,
@@ -38,6 +37,7 @@
     is_end,
     make_rollback,
 )
+from .queueing import QueuedWork, QueuePolicy, ServiceTimes, WeightedFairQueueing
 
 STEP = "scheduling"
 # Limit of a workspace without a plan in the configuration in force.
--- a/src/sardinemill/messages.py
+++ b/src/sardinemill/messages.py
@@ -2,11 +2,16 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import TYPE_CHECKING, Any
 
 from .errors import Outcome
 from .positions import ORIGIN, LogPosition, SessionPosition
 
-SqlValue = None | bool | int | float | str | bytes
+if TYPE_CHECKING:
+    SqlValue = None | bool | int | float | str | bytes
+else:
+    # msgspec decodes no union of str and bytes; MessagePack itself keeps them apart.
+    SqlValue = Any
 
 
 class StatementKind(StrEnum):
@@ -144,7 +149,8 @@
     :param requirement: lowest log position that the database must hold.
     :param is_replica: whether the database was a replica when it was chosen.
     :param n_attempts: databases tried before this one.
-    :param expected_term: term of the primary that a write was routed to, 0 for reads.
+    :param tried: names of the databases tried before this one.
+    :param expected_term: term of the primary for writes and begin, 0 otherwise.
     """
 
     request: Request
@@ -152,6 +158,7 @@
     requirement: LogPosition
     is_replica: bool
     n_attempts: int = 0
+    tried: tuple[str, ...] = ()
     expected_term: int = 0
 
 
@@ -196,7 +203,7 @@
     :param is_primary: role of the database when it answered.
     :param is_repeat: whether the answer was stored by an earlier run under the same
         idempotency key.
-    :param transaction_id: set by the pool for a begin.
+    :param transaction_id: set by begin.
     """
 
     call_id: str
