--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -14,6 +14,7 @@
 from sardinemill.configuration import Key, Plan, Workspace, hash_key
 from sardinemill.control import InstanceInfo
 from sardinemill.documents import HEAD_NAME, Head, Part, name_part_object
+from sardinemill.errors import Outcome, UpstreamUnavailable
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
 from sardinemill.settings import Settings
 
@@ -72,6 +73,40 @@
         return True
 
 
+class GuardedConnection:
+    """Connection of any kind that breaks once its database fails."""
+
+    def __init__(self, connection, name: str, failed: set[str]) -> None:
+        self._connection = connection
+        self._name = name
+        self._failed = failed
+
+    def __getattr__(self, method: str):
+        async def call(*arguments, **named):
+            result = await getattr(self._connection, method)(*arguments, **named)
+            if self._name in self._failed and method != "close":
+                raise UpstreamUnavailable(
+                    "no answer", step=method, peer=self._name, outcome=Outcome.UNKNOWN
+                )
+            return result
+
+        return call
+
+
+class FailingConnector(MemoryConnector):
+    """Connector whose open connections break when a database becomes unreachable."""
+
+    async def connect(self, database, *, timeout_seconds):
+        connection = await super().connect(database, timeout_seconds=timeout_seconds)
+        return GuardedConnection(connection, database.name, self.unreachable)
+
+    async def connect_control(self, database, *, timeout_seconds):
+        connection = await super().connect_control(
+            database, timeout_seconds=timeout_seconds
+        )
+        return GuardedConnection(connection, database.name, self.unreachable)
+
+
 class MemoryFleet:
     """Instances, one database group and the platform in this process."""
 
@@ -79,11 +114,10 @@
         self.clock = SystemClock()
         self.random = SeededRandom(7)
         self.group = MemoryGroup("hives", DATABASES)
-        self.connector = MemoryConnector([self.group], self.clock)
+        self.connector = FailingConnector([self.group], self.clock)
         self.store = MemoryStore(clock=self.clock)
         self.hub = MemoryHub(self.clock, self.random)
         self.events = EventList()
-        self.is_replicating = True
         self.instances: dict[str, Instance] = {}
         for number in range(n_instances):
             self._add_instance(f"i{number}", DATA_CENTRES[number % 2])
@@ -126,8 +160,15 @@
 
     async def replicate(self) -> None:
         while True:
-            if self.is_replicating:
-                self.group.replicate_all()
+            primaries = [
+                name
+                for name in self.group.databases
+                if self.group.get_database(name).is_primary
+                and name not in self.connector.unreachable
+            ]
+            for source in primaries:
+                for target in set(DATABASES) - {source} - self.connector.unreachable:
+                    self.group.replicate(source, target)
             await asyncio.sleep(0.002)
 
     async def run(self, scenario) -> object:
