Report the end of a drain from the home side

The drain of an instance waits until no reply is owed to any entry instance. A test of the reception expected one emission; it now checks both, the refusal and the report.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -306,9 +306,11 @@
     assert emission.message.code is RefusalCode.NO_HOME
     reception.handle(GROUPS, 0.0)
     reception.handle(DrainStarted(), 0.0)
-    (emission,) = reception.handle(make_request("2"), 0.0)
+    emission, drained = reception.handle(make_request("2"), 0.0)
     assert emission.message.code is RefusalCode.DRAINING
+    assert drained.outlet == "drain"
     commit = make_request("3", action=Action.COMMIT, transaction_id="a/1")
+    # The drain is not finished while a reply is owed.
     (emission,) = reception.handle(commit, 0.0)
     assert emission.outlet == "next"
     reception.handle(Cancellation(request_id="4"), 0.0)
