Drain open transactions and leases before an instance stops

Cause: the stop waited for requests in flight only, so an open transaction between two statements was cut, and leases were left to lapse. The stop now waits for open transactions, then for the last owed reply, then for at most 5 s for the leases. Ruled out: closing transactions at once with a refusal, which the rule that a planned stop cuts no request forbids.

--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -225,9 +225,13 @@
         )
         announcement.add(self._board_outlet())
         drain = DrainPart(
-            self.front_end, announcement, self._edges.clock, self._edges.events
+            self.front_end,
+            announcement,
+            self._stages["reception"],
+            self._edges.clock,
+            self._edges.events,
         )
-        for step in ("reception",):
+        for step in ("reception", "scheduling", "leasing"):
             self._stages[step].bind({"drain": drain})
         return [
             *self._edges.parts,
--- a/src/sardinemill/draining.py
+++ b/src/sardinemill/draining.py
@@ -7,7 +7,9 @@
 from .interfaces import Clock, FrontEnd, Outlet
 
 # Longest request time-out plus the idle limit of a transaction.
-DRAIN_LIMIT_SECONDS = 75.0
+WORK_LIMIT_SECONDS = 75.0
+# Leases that are not released lapse by themselves, also while the store is down.
+LEASE_LIMIT_SECONDS = 5.0
 
 
 class DrainPart:
@@ -18,29 +20,30 @@
     open transactions, and leases go back.
 
     :param announcement: receives :class:`DrainStarted`.
+    :param reception: tells when no reply is owed any more.
     """
 
     def __init__(
         self,
         front_end: FrontEnd,
         announcement: Outlet,
+        reception: Outlet,
         clock: Clock,
         events: Outlet,
-        steps: frozenset[str] = frozenset({"reception"}),
     ) -> None:
         self._front_end = front_end
         self._announcement = announcement
+        self._reception = reception
         self._clock = clock
         self._events = events
-        self._missing = set(steps)
-        self._finished = asyncio.Event()
+        self._finished: set[str] = set()
+        self._changed = asyncio.Event()
 
     def offer(self, message: object) -> bool:
         """Take a :class:`DrainFinished`."""
         if isinstance(message, DrainFinished):
-            self._missing.discard(message.step)
-            if not self._missing:
-                self._finished.set()
+            self._finished.add(message.step)
+            self._changed.set()
         return True
 
     async def start(self) -> None:
@@ -52,12 +55,24 @@
         self._events.offer(Event(EventName.DRAIN_STARTED))
         self._announcement.offer(DrainStarted())
         await self._front_end.drain()
-        # A step that never finishes must not keep the process alive.
-        limit = asyncio.create_task(self._clock.sleep(DRAIN_LIMIT_SECONDS))
-        finished = asyncio.create_task(self._finished.wait())
-        await asyncio.wait([limit, finished], return_when=asyncio.FIRST_COMPLETED)
-        for task in (limit, finished):
-            task.cancel()
+        await self._wait_for("scheduling", WORK_LIMIT_SECONDS)
+        # The reply to the last commit may still be owed, so the reception is asked
+        # again once no transaction is open.
+        self._finished.discard("reception")
+        self._reception.offer(DrainStarted())
+        await self._wait_for("reception", WORK_LIMIT_SECONDS)
+        await self._wait_for("leasing", LEASE_LIMIT_SECONDS)
+
+    async def _wait_for(self, step: str, limit_seconds: float) -> None:
+        """Wait for a step; one that never finishes must not keep the process alive."""
+        end = self._clock.now() + limit_seconds
+        limit = asyncio.create_task(self._clock.sleep(limit_seconds))
+        while step not in self._finished and self._clock.now() < end:
+            self._changed.clear()
+            changed = asyncio.create_task(self._changed.wait())
+            await asyncio.wait([limit, changed], return_when=asyncio.FIRST_COMPLETED)
+            changed.cancel()
+        limit.cancel()
 
     async def stop(self) -> None:
         await self._front_end.stop()
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -93,6 +93,7 @@
     # 2xx requests: placement, scheduling and transactions
     REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
     OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
     TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
 
     # 6xx membership and peers
--- a/src/sardinemill/filters/leasing.py
+++ b/src/sardinemill/filters/leasing.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 
 from ..control import (
+    DrainFinished,
     DrainStarted,
     MembershipChanged,
     SeatClosed,
@@ -90,7 +91,15 @@
                 self._seating.release(message.seat, now)
             case DrainStarted():
                 emissions += self._drain(now)
-        return emissions + self._make_calls(now)
+        return emissions + self._make_calls(now) + self._finish_drain()
+
+    def _finish_drain(self) -> list[Emission]:
+        """Report that neither a shard nor the seat is held any more."""
+        if not self._is_draining or self._seating.seat is not None:
+            return []
+        if any(lease.is_ours for lease in self._shards.values()):
+            return []
+        return [Emission("drain", DrainFinished(step="leasing"))]
 
     def tick(self, now: float) -> Sequence[Emission]:
         emissions: list[Emission] = []
--- a/src/sardinemill/filters/scheduling.py
+++ b/src/sardinemill/filters/scheduling.py
@@ -10,7 +10,7 @@
     ConfigurationChanged,
     ConfigurationConfirmed,
 )
-from ..control import GroupsChanged
+from ..control import DrainFinished, DrainStarted, GroupsChanged
 from ..errors import Outcome
 from ..events import Event, EventName
 from ..groups import count_home_connections
@@ -69,7 +69,8 @@
     """Filter at the home: one queue and a number of permits for each database.
 
     Outlets: ``execution`` for :class:`Dispatch`, ``executed`` for :class:`Execution`,
-    ``routing`` for loads of databases, ``reply``, ``events``.
+    ``routing`` for loads of databases, ``reply``, ``drain`` once no transaction is
+    open after a :class:`DrainStarted`, ``events``.
 
     :param key_policy: for the check of keys when work leaves a queue.
     :param make_policy: makes the order of one queue.
@@ -90,6 +91,7 @@
         # Deadlines of waiting requests and idle times of transactions.
         self._timers: list[tuple[float, str]] = []
         self._loads = LoadReports()
+        self._is_draining = False
 
     @property
     def next_tick(self) -> float | None:
@@ -101,6 +103,8 @@
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         emissions = list(self._handle(message, now))
         emissions.extend(Emission("routing", load) for load in self._loads.take(now))
+        if self._is_draining and not self._transactions:
+            emissions.append(Emission("drain", DrainFinished(step=STEP)))
         return emissions
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -123,6 +127,8 @@
             self._cancel(message.request_id)
         elif isinstance(message, GroupsChanged):
             yield from self._change_groups(message, now)
+        elif isinstance(message, DrainStarted):
+            self._is_draining = True
         elif isinstance(message, ConfigurationChanged | ConfigurationConfirmed):
             self._authorization.handle(message, now)
             if isinstance(message, ConfigurationChanged):
@@ -292,6 +298,8 @@
             )
         )
         queue.n_transactions += 1
+        fields = {"transaction_id": transaction_id, "database": queue.name}
+        yield Emission("events", Event(EventName.TRANSACTION_OPENED, fields))
         if is_cancelled:
             yield from self._roll_back(transaction, now)
         else:
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -1,7 +1,6 @@
 """Fleet of whole instances in one process, over stand-ins in memory."""
 
 import asyncio
-from collections.abc import Sequence
 
 import aiohttp
 
@@ -15,6 +14,7 @@
 from sardinemill.control import InstanceInfo
 from sardinemill.documents import HEAD_NAME, Head, Part, name_part_object
 from sardinemill.errors import Outcome, UpstreamUnavailable
+from sardinemill.events import EventName
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
 from sardinemill.settings import Settings
 
@@ -186,8 +186,7 @@
                 self.clock.now(),
             )
         replication = asyncio.create_task(self.replicate())
-        started: Sequence[Instance] = list(self.instances.values())
-        for instance in started:
+        for instance in self.instances.values():
             await instance.application.start()
         try:
             async with aiohttp.ClientSession() as client:
@@ -196,11 +195,22 @@
                 return await scenario(self, client)
         finally:
             failures = []
-            for instance in started:
+            for instance in self.instances.values():
                 failures += await instance.application.stop()
             replication.cancel()
             assert failures == []
 
+    def find_home(self) -> str:
+        """Name of the instance in the transaction that was opened last."""
+        for event in reversed(self.events.events):
+            if event.name is EventName.TRANSACTION_OPENED:
+                return event.fields["transaction_id"].partition("/")[0]
+        raise AssertionError("no transaction was opened")
+
+    async def stop(self, name: str) -> list[Exception]:
+        """Drain and stop one instance."""
+        return await self.instances.pop(name).application.stop()
+
     async def wait_ready(self, client, name: str) -> None:
         for _ in range(500):
             async with client.get(f"{self.url(name)}/ready") as response:
