Add servers and daemons of the stand-ins, and the adapters that reach them

Cause: the proxy meets databases and the platform only through their protocols, so each has a server (WebSocket with MessagePack, HTTP), a daemon, and a client adapter behind the protocol of interfaces.py.

Request ids are unique for the process and start at random, so an answer that arrives on another connection has an unknown id there and closes it.

--- a/src/sardinemill/adapters/store_task.py
+++ b/src/sardinemill/adapters/store_task.py
@@ -25,15 +25,18 @@
         self._clock = clock
         self._n_calls = n_calls
         self._tasks: set[asyncio.Task[None]] = set()
+        self._n_running = 0
         self._is_stopped = False
 
     def offer(self, message: object) -> bool:
         """Accept a call; a refused one is answered ``UNAVAILABLE``."""
         if not isinstance(message, StoreCall):
             return True
-        if self._is_stopped or len(self._tasks) >= self._n_calls:
-            self._reply(message, StoreFailure.UNAVAILABLE, self._clock.now())
+        if self._is_stopped or self._n_running >= self._n_calls:
+            now = self._clock.now()
+            self._sink.offer(_make_failure(message, StoreFailure.UNAVAILABLE, now))
             return True
+        self._n_running += 1
         task = asyncio.create_task(
             self._serve(message), name=f"store {message.operation} {message.call_id}"
         )
@@ -60,22 +63,15 @@
         try:
             reply = await self._call(call, asked_at)
         except StoreConflict as error:
-            self._reply(call, StoreFailure.CONFLICT, asked_at, error.current_version)
+            reply = _make_failure(
+                call, StoreFailure.CONFLICT, asked_at, error.current_version
+            )
         except (StoreError, TimeoutError):
-            self._reply(call, StoreFailure.UNAVAILABLE, asked_at)
-        else:
-            self._sink.offer(reply)
-
-    def _reply(
-        self,
-        call: StoreCall,
-        failure: StoreFailure,
-        asked_at: float,
-        version: int = 0,
-    ) -> None:
-        self._sink.offer(
-            StoreReply(call=call, failure=failure, asked_at=asked_at, version=version)
-        )
+            reply = _make_failure(call, StoreFailure.UNAVAILABLE, asked_at)
+        finally:
+            # Before the reply, so that the call that follows from it has room.
+            self._n_running -= 1
+        self._sink.offer(reply)
 
     async def _call(self, call: StoreCall, asked_at: float) -> StoreReply:
         # The store ends a watch itself and limits the wait for its answer.
@@ -122,3 +118,9 @@
             names=names,
             instances=instances,
         )
+
+
+def _make_failure(
+    call: StoreCall, failure: StoreFailure, asked_at: float, version: int = 0
+) -> StoreReply:
+    return StoreReply(call=call, failure=failure, asked_at=asked_at, version=version)
--- /dev/null
+++ b/src/sardinemill/adapters/upstream.py
@@ -0,0 +1,267 @@
+"""Connections to databases over WebSocket and MessagePack."""
+
+import asyncio
+from dataclasses import replace
+from typing import TypeVar
+
+import aiohttp
+
+from ..control import (
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
+from ..errors import (
+    CodecError,
+    Outcome,
+    StatementError,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamUnavailable,
+)
+from ..groups import DatabaseDescription
+from ..interfaces import Clock
+from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
+from ..positions import LogPosition
+from .upstream_channel import CallLost, Channel
+from .upstream_frames import (
+    ERROR,
+    FENCE,
+    MAX_FRAME_BYTES,
+    PROMOTE,
+    REPORT,
+    RUN,
+    Frame,
+    ReportRequest,
+    decode_body,
+    decode_error,
+    make_request_ids,
+)
+
+HEARTBEAT_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 10.0
+ORDER_TIMEOUT_SECONDS = 1.0
+# Time that an answer may take beyond the long poll itself.
+POLL_MARGIN_SECONDS = 1.0
+# The peer may be silent, so the closing handshake must not last.
+CLOSE_TIMEOUT_SECONDS = 0.5
+
+T = TypeVar("T")
+
+
+def _has_no_effect(call: UpstreamCall) -> bool:
+    """Tell whether a lost call certainly changed nothing.
+
+    Begin has no effect of its own, since a broken connection rolls back.
+    """
+    if call.action is Action.BEGIN:
+        return True
+    return call.statement is not None and call.statement.kind is StatementKind.READ
+
+
+def _decode(frame: Frame, kind: type[T], step: str, peer: str) -> T:
+    if frame.kind == ERROR:
+        raise decode_error(frame, step, peer)
+    return decode_body(frame, kind, peer)
+
+
+class WebSocketConnection:
+    """One database connection; one call at a time."""
+
+    def __init__(self, channel: Channel, call_timeout_seconds: float) -> None:
+        self._channel = channel
+        self._call_timeout_seconds = call_timeout_seconds
+
+    async def run(self, call: UpstreamCall) -> UpstreamResult:
+        """Run a call.
+
+        :raises UpstreamError: without an answer, the outcome of a call that may have
+            changed data is *unknown* and the connection is closed.
+        """
+        has_answer = False
+        try:
+            frame = await self._channel.call(RUN, call, self._call_timeout_seconds)
+            result = self._read_answer(call, frame)
+            has_answer = True
+            return result
+        except CallLost as error:
+            is_certain = not error.is_sent or _has_no_effect(call)
+            raise self._make_lost(error.reason, is_certain) from error
+        except CodecError as error:
+            # Values that MessagePack cannot carry are refused before sending.
+            has_answer = True
+            raise StatementError(
+                error.message, step="encode", peer=self._channel.peer
+            ) from error
+        except UpstreamError as error:
+            has_answer = not isinstance(error, UpstreamUnavailable)
+            raise
+        finally:
+            # An answer that comes after a time-out or a cancellation must not meet
+            # the next call.
+            if not has_answer:
+                self._channel.close()
+
+    async def close(self) -> None:
+        self._channel.close()
+
+    def _read_answer(self, call: UpstreamCall, frame: Frame) -> UpstreamResult:
+        peer = self._channel.peer
+        try:
+            result = _decode(frame, UpstreamResult, "run", peer)
+        except CodecError as error:
+            raise self._make_lost(error.message, _has_no_effect(call)) from error
+        if result.call_id != call.call_id:
+            raise self._make_lost("the answer is for another call", False)
+        return result
+
+    def _make_lost(self, reason: str, is_certain: bool) -> UpstreamUnavailable:
+        return UpstreamUnavailable(
+            reason,
+            step="run",
+            peer=self._channel.peer,
+            outcome=Outcome.NOT_RUN if is_certain else Outcome.UNKNOWN,
+        )
+
+
+class WebSocketControl:
+    """Control channel of one database; calls may overlap."""
+
+    def __init__(self, channel: Channel, clock: Clock) -> None:
+        self._channel = channel
+        self._clock = clock
+
+    async def report(
+        self, *, wait_for: LogPosition | None, timeout_seconds: float
+    ) -> DatabaseReport:
+        asked_at = self._clock.now()
+        body = ReportRequest(wait_for=wait_for, timeout_seconds=timeout_seconds)
+        limit_seconds = timeout_seconds + POLL_MARGIN_SECONDS
+        report = await self._call(
+            REPORT, body, DatabaseReport, limit_seconds, Outcome.NOT_RUN
+        )
+        return replace(report, asked_at=asked_at, received_at=self._clock.now())
+
+    async def fence(self, order: FenceOrder) -> FenceAnswer:
+        return await self._call(
+            FENCE, order, FenceAnswer, ORDER_TIMEOUT_SECONDS, Outcome.UNKNOWN
+        )
+
+    async def promote(self, order: PromoteOrder) -> PromoteAnswer:
+        return await self._call(
+            PROMOTE, order, PromoteAnswer, ORDER_TIMEOUT_SECONDS, Outcome.UNKNOWN
+        )
+
+    async def close(self) -> None:
+        self._channel.close()
+
+    async def _call(
+        self,
+        step: str,
+        body: object,
+        kind: type[T],
+        timeout_seconds: float,
+        lost_outcome: Outcome,
+    ) -> T:
+        peer = self._channel.peer
+        try:
+            frame = await self._channel.call(step, body, timeout_seconds)
+            return _decode(frame, kind, step, peer)
+        except CallLost as error:
+            outcome = lost_outcome if error.is_sent else Outcome.NOT_RUN
+            raise UpstreamUnavailable(
+                error.reason, step=step, peer=peer, outcome=outcome
+            ) from error
+        except CodecError as error:
+            raise UpstreamUnavailable(
+                error.message, step=step, peer=peer, outcome=lost_outcome
+            ) from error
+
+
+class WebSocketConnector:
+    """Opens connections; owns the client session.
+
+    :param heartbeat_seconds: interval of pings; a connection whose pong does not come
+        within half of it is closed.
+    :param call_timeout_seconds: limit of one statement or commit.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        heartbeat_seconds: float = HEARTBEAT_SECONDS,
+        call_timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
+        self._clock = clock
+        self._heartbeat_seconds = heartbeat_seconds
+        self._call_timeout_seconds = call_timeout_seconds
+        self._request_ids = make_request_ids()
+        self._session: aiohttp.ClientSession | None = None
+        self._channels: set[Channel] = set()
+
+    async def start(self) -> None:
+        """Open the client session; the first connection does it otherwise."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+
+    async def drain(self) -> None:
+        """Nothing to do: the owners of the connections finish their calls."""
+
+    async def stop(self) -> None:
+        """Close what is open and the session."""
+        channels = list(self._channels)
+        for channel in channels:
+            channel.close()
+        readers = [channel.reader for channel in channels]
+        await asyncio.gather(*readers, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def connect(
+        self, database: DatabaseDescription, *, timeout_seconds: float
+    ) -> WebSocketConnection:
+        channel = await self._open(database, "connection", timeout_seconds)
+        return WebSocketConnection(channel, self._call_timeout_seconds)
+
+    async def connect_control(
+        self, database: DatabaseDescription, *, timeout_seconds: float
+    ) -> WebSocketControl:
+        channel = await self._open(database, "control", timeout_seconds)
+        return WebSocketControl(channel, self._clock)
+
+    async def _open(
+        self, database: DatabaseDescription, path: str, timeout_seconds: float
+    ) -> Channel:
+        await self.start()
+        assert self._session is not None
+        url = f"http://{database.address}/{path}"
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                socket = await self._session.ws_connect(
+                    url,
+                    heartbeat=self._heartbeat_seconds,
+                    max_msg_size=MAX_FRAME_BYTES,
+                    timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_SECONDS),
+                )
+        except aiohttp.WSServerHandshakeError as error:
+            kind = UpstreamBusy if error.status == 503 else UpstreamUnavailable
+            raise kind(
+                f"refused with status {error.status}",
+                step="connect",
+                peer=database.name,
+            ) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise UpstreamUnavailable(
+                "the database does not answer", step="connect", peer=database.name
+            ) from error
+        channel = Channel(socket, database.name, self._request_ids)
+        self._channels.add(channel)
+        channel.reader.add_done_callback(lambda _: self._channels.discard(channel))
+        return channel
--- /dev/null
+++ b/src/sardinemill/adapters/upstream_frames.py
@@ -0,0 +1,133 @@
+"""MessagePack frames between the proxy and a database.
+
+A request is ``[id, kind, body]``; its answer is ``[id, kind, body]`` with the same id
+and kind ``done`` or ``error``. Ids are unique for all connections of a process, so an
+answer that comes on the wrong connection has an unknown id there.
+"""
+
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from ..errors import (
+    CodecError,
+    IdempotencyKeyReused,
+    Outcome,
+    StatementError,
+    TransactionClosed,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamFenced,
+    UpstreamUnavailable,
+)
+from ..positions import LogPosition
+
+RUN = "run"
+REPORT = "report"
+FENCE = "fence"
+PROMOTE = "promote"
+APPEND = "append"
+DONE = "done"
+ERROR = "error"
+
+# Rows of one answer come in one frame.
+MAX_FRAME_BYTES = 64 * 2**20
+
+_ERRORS: dict[str, type[UpstreamError]] = {
+    kind.code: kind
+    for kind in (
+        UpstreamError,
+        UpstreamUnavailable,
+        UpstreamFenced,
+        UpstreamBusy,
+        StatementError,
+        IdempotencyKeyReused,
+        TransactionClosed,
+    )
+}
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Frame:
+    """Request or answer whose body is still encoded."""
+
+    request_id: int
+    kind: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportRequest:
+    """Body of a report; see :meth:`ControlConnection.report`."""
+
+    wait_for: LogPosition | None
+    timeout_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ErrorBody:
+    """Body of an error answer."""
+
+    code: str
+    message: str
+    outcome: Outcome
+
+
+def make_request_ids() -> Iterator[int]:
+    """Count from a random start, so that ids of two processes differ too."""
+    return itertools.count(random.getrandbits(62))
+
+
+def encode_frame(request_id: int, kind: str, body: object) -> bytes:
+    """Encode a frame.
+
+    :raises CodecError: when a value of the body has no MessagePack form.
+    """
+    try:
+        return msgspec.msgpack.encode([request_id, kind, body])
+    except (OverflowError, TypeError, UnicodeEncodeError) as error:
+        raise CodecError("a value cannot be encoded", step="encode") from error
+
+
+def decode_frame(data: bytes, peer: str) -> Frame:
+    """Decode the envelope of a frame.
+
+    :raises CodecError: when it is malformed.
+    """
+    try:
+        request_id, kind, body = msgspec.msgpack.decode(
+            data, type=tuple[int, str, msgspec.Raw]
+        )
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error), step="decode", peer=peer) from error
+    return Frame(request_id=request_id, kind=kind, body=bytes(body))
+
+
+def decode_body(frame: Frame, kind: type[T], peer: str) -> T:
+    """Decode the body of a frame.
+
+    :raises CodecError: when it is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(frame.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error), step="decode", peer=peer) from error
+
+
+def encode_error(request_id: int, error: UpstreamError) -> bytes:
+    """Encode an error answer."""
+    body = ErrorBody(code=error.code, message=error.message, outcome=error.outcome)
+    return encode_frame(request_id, ERROR, body)
+
+
+def decode_error(frame: Frame, step: str, peer: str) -> UpstreamError:
+    """Turn an error answer into the error to raise."""
+    body = decode_body(frame, ErrorBody, peer)
+    kind = _ERRORS.get(body.code, UpstreamError)
+    return kind(body.message, step=step, peer=peer, outcome=body.outcome)
--- /dev/null
+++ b/src/sardinemill/emulator/daemons.py
@@ -0,0 +1,101 @@
+"""What the daemons of the stand-ins share: flags, log and run loop."""
+
+import asyncio
+import inspect
+import os
+import signal
+import sys
+from collections.abc import Callable, Mapping, Sequence
+
+import defopt
+import structlog
+
+from ..application import Application, Part
+from ..events import Event, EventName
+from ..groups import Address
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``.
+
+    :raises ValueError: when it has another form.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not host:port")
+    return Address(host, int(port))
+
+
+def add_environment(
+    function: Callable[..., None],
+    prefix: str,
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+) -> list[str]:
+    """Add flags that are set only in the environment.
+
+    :param prefix: a flag ``--some-flag`` is read from ``<prefix>SOME_FLAG``; lists are
+        separated by commas.
+    """
+    result = list(arguments)
+    given = {argument.split("=")[0] for argument in arguments}
+    for name, parameter in inspect.signature(function).parameters.items():
+        flag = "--" + name.replace("_", "-")
+        value = environment.get(prefix + name.upper())
+        no_flag = flag.replace("--", "--no-", 1)
+        if value is None or flag in given or no_flag in given:
+            continue
+        if parameter.annotation is bool:
+            is_set = value.lower() in ("1", "true", "yes")
+            result.append(flag if is_set else no_flag)
+        elif parameter.default == ():
+            result += [flag, *filter(None, value.split(","))]
+        else:
+            result.append(f"{flag}={value}")
+    return result
+
+
+def run_main(function: Callable[..., None], prefix: str) -> None:
+    """Run a daemon's function with flags from command line and environment."""
+    arguments = add_environment(function, prefix, sys.argv[1:], os.environ)
+    defopt.run(function, argv=arguments)
+
+
+def log_event(event: Event) -> None:
+    """Write an event as one JSON line to standard error."""
+    kind = event.name.value
+    logger = structlog.get_logger()
+    logger.log(
+        {"debug": 10, "info": 20, "warning": 30, "error": 40}[kind.level],
+        event.name.name.lower(),
+        number=kind.number,
+        **event.fields,
+    )
+
+
+def configure_log() -> None:
+    """Send the log to standard error as JSON lines."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+async def serve(part: Part, describe: Callable[[], Mapping[str, object]]) -> None:
+    """Run a stand-in until SIGTERM or SIGINT.
+
+    :param describe: fields of the start event, known once it listens.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    application = Application([part])
+    await application.start()
+    log_event(Event(EventName.STAND_IN_STARTED, describe()))
+    await application.run_until(stopping)
+    log_event(Event(EventName.STAND_IN_STOPPED))
--- a/src/sardinemill/emulator/log.py
+++ b/src/sardinemill/emulator/log.py
@@ -6,6 +6,9 @@
 from ..positions import ORIGIN, LogPosition
 from .workspaces import LoggedStatement
 
+# Keeps a replication message well below the limit of a frame.
+MAX_READ_BYTES = 4 * 2**20
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LogEntry:
@@ -71,8 +74,15 @@
         return self._entries[offset - 1].position
 
     def read(self, after_offset: int, limit: int) -> tuple[LogEntry, ...]:
-        """Entries after ``after_offset``, at most ``limit``."""
-        return tuple(self._entries[after_offset : after_offset + limit])
+        """Entries after ``after_offset``, at most ``limit`` and about 4 MB."""
+        entries: list[LogEntry] = []
+        n_bytes = 0
+        for entry in self._entries[after_offset : after_offset + limit]:
+            entries.append(entry)
+            n_bytes += sum(_count_bytes(item) for item in entry.statements)
+            if n_bytes >= MAX_READ_BYTES:
+                break
+        return tuple(entries)
 
     def add(
         self, term: int, workspace: str, statements: tuple[LoggedStatement, ...]
@@ -121,3 +131,8 @@
             self._entries[start:] = added
             return removed, added
         return (), ()
+
+
+def _count_bytes(statement: LoggedStatement) -> int:
+    texts = (item for item in statement.parameters if isinstance(item, str | bytes))
+    return len(statement.sql) + sum(map(len, texts))
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -24,7 +24,8 @@
 
 class EventName(Enum):
     """All events, by hundreds: 1 life cycle, 2 requests, 3 databases and failover,
-    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store.
+    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store,
+    8 stand-ins.
     """
 
     # 1xx life cycle
@@ -34,6 +35,14 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 8xx stand-ins
+    STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
+    STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
+    FAULTS_CHANGED = EventKind(803, "info", "The faults of a stand-in were changed.")
+    DATABASE_ROLE_CHANGED = EventKind(
+        804, "info", "A database stand-in changed its role or term."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
