Test the upstream connections against both back ends

Cause: the outcome of a lost answer, crossed answers, silent sockets, cut links and a change of primary must hold over sockets too, not only in memory.

--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,339 @@
+"""Connections to databases, in memory and over WebSocket, and outcomes of losses."""
+
+import asyncio
+import json
+from dataclasses import replace
+
+import aiohttp
+import pytest
+
+from sardinemill.adapters.clocks import SystemClock
+from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
+from sardinemill.adapters.upstream import WebSocketConnector
+from sardinemill.control import FenceOrder, PromoteOrder, Role
+from sardinemill.emulator.database_server import DatabaseOptions, DatabaseServer
+from sardinemill.errors import (
+    Outcome,
+    StatementError,
+    TransactionClosed,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamFenced,
+    UpstreamUnavailable,
+)
+from sardinemill.groups import Address, DatabaseDescription
+from sardinemill.messages import Action, Statement, StatementKind, UpstreamCall
+from sardinemill.positions import LogPosition
+
+NAMES = ("a", "b", "c")
+CONNECT_SECONDS = 5.0
+N_CONNECTIONS = 4
+
+
+def describe(name):
+    return DatabaseDescription(
+        name=name,
+        group="hives",
+        slot=NAMES.index(name),
+        data_centre=f"almaty-{name}",
+        address=Address("127.0.0.1", 0),
+        n_connections=N_CONNECTIONS,
+    )
+
+
+def make_call(sql="", *parameters, action=Action.STATEMENT, call_id="1", **fields):
+    kind = StatementKind.READ if sql.startswith("select") else StatementKind.WRITE
+    statement = Statement(sql=sql, parameters=parameters, kind=kind, idempotent=False)
+    return UpstreamCall(
+        call_id=call_id,
+        action=action,
+        workspace="bees",
+        statement=statement if sql else None,
+        **fields,
+    )
+
+
+class MemoryWorld:
+    """Three databases in memory, replicated at once when a test waits for it."""
+
+    def __init__(self):
+        self._group = MemoryGroup("hives", NAMES)
+        self._connector = MemoryConnector([self._group])
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        pass
+
+    async def connect(self, name):
+        return await self._connector.connect(
+            describe(name), timeout_seconds=CONNECT_SECONDS
+        )
+
+    async def connect_control(self, name):
+        return await self._connector.connect_control(
+            describe(name), timeout_seconds=CONNECT_SECONDS
+        )
+
+    def replicate(self):
+        self._group.replicate_all()
+
+
+class SocketWorld:
+    """Three servers on loopback ports that replicate by themselves."""
+
+    def __init__(self, **options):
+        clock = SystemClock()
+        self.connector = WebSocketConnector(clock, **options)
+        self.servers = {
+            name: DatabaseServer(
+                DatabaseOptions(
+                    description=describe(name),
+                    incarnation=f"{name}/1",
+                    is_initial_primary=name == "a",
+                    connect_seconds=0.0,
+                ),
+                clock,
+            )
+            for name in NAMES
+        }
+
+    async def start(self):
+        for server in self.servers.values():
+            await server.start()
+        for name, server in self.servers.items():
+            for peer, other in self.servers.items():
+                if peer != name:
+                    server.add_peer(peer, other.description.address)
+
+    async def stop(self):
+        await self.connector.stop()
+        for server in self.servers.values():
+            await server.stop()
+
+    async def connect(self, name):
+        return await self.connector.connect(
+            self.servers[name].description, timeout_seconds=CONNECT_SECONDS
+        )
+
+    async def connect_control(self, name):
+        return await self.connector.connect_control(
+            self.servers[name].description, timeout_seconds=CONNECT_SECONDS
+        )
+
+    def replicate(self):
+        """The replication tasks do it."""
+
+    async def set_faults(self, name, **fields):
+        url = f"http://{self.servers[name].description.address}/faults"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, data=json.dumps(fields)) as response,
+        ):
+            assert response.status == 200, await response.text()
+
+
+def run_scenario(world, scenario):
+    async def run():
+        await world.start()
+        try:
+            return await scenario(world)
+        finally:
+            await world.stop()
+
+    return asyncio.run(run())
+
+
+@pytest.fixture(params=[MemoryWorld, SocketWorld])
+def run_in_world(request):
+    """Run a scenario against both back ends."""
+    return lambda scenario: run_scenario(request.param(), scenario)
+
+
+async def create_hive(world):
+    connection = await world.connect("a")
+    await connection.run(
+        make_call("create table hive (name text, weight real, p blob)")
+    )
+    return connection
+
+
+def test_statements_and_limits(run_in_world):
+    """Guards against lost values, connections above the limit, held transactions."""
+
+    async def scenario(world):
+        first = await create_hive(world)
+        values = ("north", 1.5, b"\xff\x00")
+        insert = make_call("insert into hive values (?, ?, ?)", *values)
+        written = await first.run(replace(insert, expected_term=1))
+        assert (written.n_changed, written.is_primary) == (1, True)
+        read = await first.run(make_call("select * from hive"))
+        assert read.rows == (values,)
+        assert read.columns == ("name", "weight", "p")
+        with pytest.raises(StatementError):
+            await first.run(make_call("select * from nowhere"))
+        with pytest.raises(StatementError):
+            await first.run(make_call("insert into hive values (?, 1, 1)", 2**70))
+        with pytest.raises(UpstreamFenced):
+            await first.run(replace(insert, expected_term=2))
+
+        others = [await world.connect("a") for _ in range(N_CONNECTIONS - 1)]
+        with pytest.raises(UpstreamBusy):
+            await world.connect("a")
+        control = await world.connect_control("a")
+        report = await control.report(wait_for=None, timeout_seconds=1)
+        assert report.position == written.position
+
+        await others[0].run(make_call(action=Action.BEGIN))
+        in_transaction = replace(insert, action=Action.TRANSACTION_STATEMENT)
+        await others[0].run(in_transaction)
+        waiting = asyncio.create_task(others[1].run(insert))
+        await asyncio.sleep(0)
+        await others[0].close()
+        assert (await waiting).n_changed == 1
+        with pytest.raises(TransactionClosed):
+            await others[1].run(in_transaction)
+        count = await first.run(make_call("select count(*) from hive"))
+        assert count.rows == ((2,),)
+
+    run_in_world(scenario)
+
+
+def test_change_of_primary(run_in_world):
+    """Guards against a failover that loses a write or leaves two primaries."""
+
+    async def scenario(world):
+        connection = await create_hive(world)
+        insert = make_call("insert into hive values ('x', 1, null)", expected_term=1)
+        written = await connection.run(insert)
+        controls = {name: await world.connect_control(name) for name in NAMES}
+        world.replicate()
+        reports = await asyncio.gather(
+            *[
+                controls[name].report(wait_for=written.position, timeout_seconds=30)
+                for name in NAMES
+            ]
+        )
+        assert {report.position for report in reports} == {written.position}
+        assert all(0 < report.asked_at <= report.received_at for report in reports)
+        assert [report.role for report in reports].count(Role.PRIMARY) == 1
+
+        # A long poll must not hold up the other calls of the channel.
+        waiting = asyncio.create_task(
+            controls["b"].report(wait_for=LogPosition(9, 9), timeout_seconds=30)
+        )
+        await asyncio.sleep(0)
+        order = FenceOrder(group="hives", database="b", term=2, orderer="north")
+        for name in ("b", "c"):
+            assert (await controls[name].fence(replace(order, database=name))).accepted
+        assert (await waiting).fenced_term == 2
+        promoted = await controls["b"].promote(
+            PromoteOrder(group="hives", database="b", term=2, orderer="north")
+        )
+        assert promoted.accepted
+        world.replicate()
+        demoted = await controls["a"].report(
+            wait_for=promoted.position, timeout_seconds=30
+        )
+        assert demoted.role is Role.REPLICA
+        with pytest.raises(UpstreamFenced) as caught:
+            await connection.run(insert)
+        assert caught.value.outcome is Outcome.NOT_RUN
+        too_new = make_call("select 1", minimum_position=LogPosition(2, 99))
+        with pytest.raises(UpstreamError) as caught:
+            await connection.run(too_new)
+        assert caught.value.outcome is Outcome.NOT_RUN
+        new = await world.connect("b")
+        read = await new.run(make_call("select name from hive"))
+        assert read.rows == (("x",),)
+
+    run_in_world(scenario)
+
+
+INSERT = make_call("insert into hive values ('x', 1, null)")
+READ = make_call("select name from hive")
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"n_lost_answers": 1},
+        {"is_silencing": True},
+        {"is_frozen": True},
+        {"delay_seconds": 60},
+    ],
+)
+@pytest.mark.parametrize(
+    ("call", "outcome"), [(INSERT, Outcome.UNKNOWN), (READ, Outcome.NOT_RUN)]
+)
+def test_missing_answer(faults, call, outcome):
+    """Guards against a lost write that is reported as not run."""
+
+    async def scenario(world):
+        connection = await create_hive(world)
+        control = await world.connect_control("a")
+        await world.set_faults("a", **faults)
+        with pytest.raises(UpstreamUnavailable) as caught:
+            await connection.run(call)
+        assert caught.value.outcome is outcome
+        with pytest.raises(UpstreamUnavailable) as caught:
+            await connection.run(call)
+        assert caught.value.outcome is Outcome.NOT_RUN
+        if "is_silencing" in faults:
+            with pytest.raises(UpstreamUnavailable):
+                await control.report(wait_for=None, timeout_seconds=1)
+        await world.set_faults("a", is_frozen=False, delay_seconds=0)
+        again = await world.connect("a")
+        assert len((await again.run(READ)).rows) <= 1
+
+    options = {"heartbeat_seconds": 0.2, "call_timeout_seconds": 1.0}
+    run_scenario(SocketWorld(**options), scenario)
+
+
+def test_crossed_answers_are_detected():
+    """Guards against a caller that gets the answer to another caller's call."""
+
+    async def scenario(world):
+        first = await create_hive(world)
+        second = await world.connect("a")
+        await world.set_faults("a", n_crossed_pairs=1)
+        results = await asyncio.gather(
+            first.run(replace(INSERT, call_id="f")),
+            second.run(replace(READ, call_id="s")),
+            return_exceptions=True,
+        )
+        assert all(isinstance(item, UpstreamUnavailable) for item in results)
+        assert [item.outcome for item in results] == [Outcome.UNKNOWN, Outcome.NOT_RUN]
+        third = await world.connect("a")
+        assert (await third.run(READ)).rows == (("x",),)
+
+    run_scenario(SocketWorld(), scenario)
+
+
+def test_cut_link_and_lag_hold_back_replication():
+    """Guards against a partition or a lag that the stand-in only pretends."""
+
+    async def scenario(world):
+        connection = await create_hive(world)
+        controls = {name: await world.connect_control(name) for name in NAMES}
+        await world.set_faults("a", cut_peers=["b"], lag_seconds={"c": 3600})
+        before = (await connection.run(READ)).position
+        for name in ("b", "c"):
+            await controls[name].report(wait_for=before, timeout_seconds=0.2)
+        written = await connection.run(INSERT)
+        for name in ("b", "c"):
+            report = await controls[name].report(
+                wait_for=written.position, timeout_seconds=0.3
+            )
+            assert report.position < written.position
+        await world.set_faults("a", cut_peers=[], lag_seconds={}, is_leaving=True)
+        for name in ("b", "c"):
+            report = await controls[name].report(
+                wait_for=written.position, timeout_seconds=30
+            )
+            assert report.position == written.position
+        leaving = await controls["a"].report(wait_for=None, timeout_seconds=1)
+        assert leaving.is_leaving
+
+    run_scenario(SocketWorld(), scenario)
