Test pools, membership and homes; end lingering of moved groups

Cause: a group that moved to other homes started to linger again at each tick, so its connections were never given up. The new test of the filter found it; the filter now notes which groups it was a home of.

--- a/src/sardinemill/filters/homes.py
+++ b/src/sardinemill/filters/homes.py
@@ -8,7 +8,7 @@
     ConfigurationChanged,
 )
 from ..control import GroupsChanged, InstanceInfo, MembershipChanged
-from ..groups import GroupDescription, choose_homes
+from ..groups import choose_homes
 from ..interfaces import Emission
 
 # A group that moved to other homes is kept for as long as its requests may still run;
@@ -32,6 +32,7 @@
         self._configuration: Configuration = EMPTY_CONFIGURATION
         self._live: tuple[InstanceInfo, ...] = ()
         self._is_leaving = False
+        self._own: set[str] = set()
         self._lingering: dict[str, float] = {}
         self._last = GroupsChanged(groups=(), homes=())
 
@@ -78,20 +79,12 @@
     def _start_lingering(self, own: set[str], now: float) -> None:
         for name in own:
             self._lingering.pop(name, None)
-        for group in self._last.groups:
-            if group.name not in own:
-                self._lingering.setdefault(group.name, now + LINGER_SECONDS)
+        for name in self._own - own:
+            self._lingering[name] = now + LINGER_SECONDS
+        self._own = own
 
     def _rank(self, homes: Sequence[str]) -> tuple[str, ...]:
         """Rank a home that lingers after all others."""
         if self._instance in homes:
             return tuple(homes)
         return (*homes, self._instance)
-
-
-def find_group(changed: GroupsChanged, name: str) -> GroupDescription | None:
-    """Return the group of that name if this instance is a home of it."""
-    for group in changed.groups:
-        if group.name == name:
-            return group
-    return None
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,186 @@
+"""Instances in use and the groups that follow from them, by a hand-moved clock."""
+
+from dataclasses import replace
+
+from sardinemill.adapters.clocks import SeededRandom
+from sardinemill.configuration import Configuration, ConfigurationChanged
+from sardinemill.control import (
+    DrainStarted,
+    GroupsChanged,
+    Heartbeat,
+    InstanceInfo,
+    InstanceList,
+    InstanceState,
+    MembershipChanged,
+    PeerEnvelope,
+    StoreCall,
+    StoreFailure,
+    StoreReply,
+)
+from sardinemill.filters.homes import LINGER_SECONDS, Homes
+from sardinemill.filters.membership import (
+    GRACE_SECONDS,
+    POLL_SECONDS,
+    SILENCE_SECONDS,
+    Membership,
+    choose_relays,
+)
+from sardinemill.groups import Address, GroupDescription
+
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def make_info(name, data_centre="x"):
+    return InstanceInfo(
+        name=name,
+        data_centre=data_centre,
+        peer_address=ADDRESS,
+        front_address=ADDRESS,
+    )
+
+
+class Fleet:
+    """Membership filters of several instances over a perfect network."""
+
+    def __init__(self, names):
+        self.infos = {name: make_info(name) for name in names}
+        self.filters = {
+            name: Membership(info, "1", SeededRandom(number))
+            for number, (name, info) in enumerate(self.infos.items())
+        }
+        self.listed = tuple(self.infos.values())
+        self.is_store_up = True
+        self.silent, self.polls = set(), []
+        self.current = {}
+        self.now = 0.0
+
+    def names(self, observer, state="live"):
+        return {item.name for item in getattr(self.current[observer], state)}
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while True:
+            self.now, name = min(
+                (item.next_tick, name) for name, item in self.filters.items()
+            )
+            if self.now > end:
+                self.now = end
+                return
+            self.now = max(self.now, 0.0)
+            self.take(name, self.filters[name].tick(self.now))
+
+    def feed(self, name, message):
+        self.take(name, self.filters[name].handle(message, self.now))
+
+    def take(self, name, emissions):
+        for emission in emissions:
+            message = emission.message
+            if isinstance(message, MembershipChanged):
+                self.current[name] = message
+            elif isinstance(message, StoreCall):
+                self.polls.append(name)
+                self.feed(name, self.make_reply(message))
+            elif isinstance(message, PeerEnvelope):
+                self.send(name, message)
+
+    def make_reply(self, call):
+        failure = None if self.is_store_up else StoreFailure.UNAVAILABLE
+        listed = self.listed if self.is_store_up else ()
+        return StoreReply(
+            call=call, failure=failure, asked_at=self.now, instances=listed
+        )
+
+    def send(self, sender, envelope):
+        targets = [envelope.peer]
+        if envelope.peer == "*":
+            targets = [item.name for item in self.current[sender].candidates]
+        for target in targets:
+            if not {sender, target} & self.silent and target in self.filters:
+                message = PeerEnvelope(peer=sender, message=envelope.message)
+                self.feed(target, message)
+
+
+def test_fleet_finds_itself_and_loses_silent_instances():
+    """Guards against an instance that stays unknown, a silent one that stays live, and
+    a store outage that empties the fleet.
+    """
+    fleet = Fleet("abcd")
+    fleet.listed = fleet.listed[:3]
+    fleet.advance(5.0)
+    # The list lags behind the newest instance, which introduced itself.
+    assert all(fleet.names(name) == set("abcd") for name in "abcd")
+    fleet.polls.clear()
+    fleet.advance(10 * POLL_SECONDS)
+    relays = choose_relays("x", fleet.infos.values())
+    assert set(fleet.polls) == set(relays) and len(relays) == 2
+    fleet.is_store_up = False
+    fleet.silent = {"b"}
+    fleet.advance(SILENCE_SECONDS + 0.01)
+    assert fleet.names("a") == set("acd") and fleet.names("b") == {"b"}
+    assert "b" in {item.name for item in fleet.current["a"].candidates}
+    fleet.silent = set()
+    fleet.advance(1.2)
+    assert fleet.names("a") == fleet.names("b") == set("abcd")
+    fleet.feed("c", DrainStarted())
+    assert fleet.names("a") == set("abd") and fleet.names("a", "leaving") == {"c"}
+
+
+def test_listed_instance_needs_a_heartbeat_after_the_grace_period():
+    """Guards against an empty fleet at the start, a list entry that never lived, and
+    late heartbeats that pass for signs of life.
+    """
+    membership = Membership(make_info("a"), "1", SeededRandom(1))
+
+    def find_live(emissions, live=frozenset("a")):
+        for emission in emissions:
+            if isinstance(emission.message, MembershipChanged):
+                live = {item.name for item in emission.message.live}
+        return live
+
+    listed = InstanceList(instances=(make_info("a"), make_info("b")))
+    envelope = PeerEnvelope(peer="c", message=listed)
+    assert find_live(membership.handle(envelope, 0.0)) == {"a", "b"}
+    assert find_live(membership.tick(GRACE_SECONDS)) == {"a"}
+    heartbeat = Heartbeat(
+        source="b",
+        incarnation="1",
+        sequence=7,
+        state=InstanceState.LIVE,
+        configuration_version=0,
+    )
+    envelope = PeerEnvelope(peer="b", message=heartbeat)
+    assert find_live(membership.handle(envelope, 4.0)) == {"a", "b"}
+    membership.tick(4.0 + SILENCE_SECONDS)
+    late = PeerEnvelope(peer="b", message=replace(heartbeat, sequence=6))
+    assert not membership.handle(late, 8.0)
+    forged = PeerEnvelope(peer="c", message=replace(heartbeat, sequence=9))
+    assert not membership.handle(forged, 8.0)
+
+
+def test_home_keeps_its_groups_while_work_may_be_in_flight():
+    """Guards against a change of homes or a stop that drops running work, and against
+    messages when nothing changed.
+    """
+    homes = Homes("a")
+    configuration = Configuration(
+        version=1,
+        plans={},
+        workspaces={},
+        keys={},
+        groups={"g": GroupDescription("g", 3, ())},
+    )
+    alone = MembershipChanged(live=(make_info("a"),), leaving=())
+    homes.handle(alone, 0.0)
+    (emission,) = homes.handle(ConfigurationChanged(configuration=configuration), 0.0)
+    assert emission.message == GroupsChanged(
+        groups=(configuration.groups["g"],), homes=(("g", ("a",)),)
+    )
+    assert not homes.handle(alone, 1.0)
+    others = tuple(make_info(name) for name in "bcdefgh")
+    stopping = MembershipChanged(live=others, leaving=(make_info("a"),))
+    assert not homes.handle(stopping, 1.0)
+    (emission,) = homes.handle(MembershipChanged(live=others, leaving=()), 2.0)
+    ((_, ranked),) = emission.message.homes
+    assert ranked[-1] == "a" and len(ranked) == 4
+    (emission,) = homes.tick(2.0 + LINGER_SECONDS)
+    assert emission.message.groups == () and homes.next_tick is None
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,220 @@
+"""Connections, transactions and connection limits, with a scripted database."""
+
+import asyncio
+
+from sardinemill.adapters.clocks import SeededRandom, SystemClock
+from sardinemill.adapters.pool import PoolSet
+from sardinemill.control import GroupsChanged
+from sardinemill.errors import (
+    Outcome,
+    StatementError,
+    UpstreamBusy,
+    UpstreamUnavailable,
+)
+from sardinemill.groups import Address, DatabaseDescription, GroupDescription
+from sardinemill.messages import (
+    Action,
+    Dispatch,
+    RefusalCode,
+    Request,
+    RoutedRequest,
+    Statement,
+    StatementKind,
+    UpstreamCall,
+    UpstreamResult,
+)
+from sardinemill.positions import ORIGIN
+
+# Two connections for this home.
+DATABASE = DatabaseDescription("d", "g", 0, "x", Address("127.0.0.1", 1), 8)
+GROUPS = GroupsChanged(groups=(GroupDescription("g", 1, (DATABASE,)),), homes=())
+
+
+class Connection:
+    """Answers with its number; a statement names the failure that it wants."""
+
+    def __init__(self, database, number):
+        self.database = database
+        self.number = number
+        self.is_open = True
+
+    async def run(self, call):
+        assert self.is_open
+        self.database.calls.append((self.number, call.action, call.workspace))
+        sql = "" if call.statement is None else call.statement.sql
+        if sql == "reject":
+            raise StatementError("no", step="run")
+        if sql == "break":
+            raise UpstreamUnavailable("gone", step="run", outcome=Outcome.UNKNOWN)
+        if sql == "hang":
+            await asyncio.Event().wait()
+        return UpstreamResult(call_id=call.call_id, n_changed=self.number)
+
+    async def close(self):
+        self.is_open = False
+
+
+class Database:
+    """Connector and sink of a pool set.
+
+    :param n_busy: connection attempts that meet the limit first.
+    """
+
+    def __init__(self, n_busy=0):
+        self.n_busy = n_busy
+        self.connections, self.calls = [], []
+        self.executions = asyncio.Queue()
+        self.pools = PoolSet("a", self, SystemClock(), SeededRandom(1), self)
+        self.pools.offer(GROUPS)
+        self.n_requests = 0
+
+    async def connect(self, database, *, timeout_seconds):
+        if self.n_busy > 0:
+            self.n_busy -= 1
+            raise UpstreamBusy("limit", step="connect")
+        self.connections.append(Connection(self, len(self.connections)))
+        return self.connections[-1]
+
+    def offer(self, execution):
+        self.executions.put_nowait(execution)
+        return True
+
+    @property
+    def n_open(self):
+        return sum(connection.is_open for connection in self.connections)
+
+    def send(self, sql="", action=Action.STATEMENT, **fields):
+        self.n_requests += 1
+        request_id = str(self.n_requests)
+        statement = Statement(
+            sql=sql, parameters=(), kind=StatementKind.WRITE, idempotent=False
+        )
+        fields.setdefault("deadline", SystemClock().now() + 20)
+        fields.setdefault("workspace", "w")
+        request = Request(
+            request_id=request_id,
+            action=action,
+            key_id="k",
+            group="g",
+            statement=statement if "statement" in action.value else None,
+            **fields,
+        )
+        routed = RoutedRequest(
+            request=request, database="d", requirement=ORIGIN, is_replica=False
+        )
+        call = UpstreamCall(
+            call_id=request_id,
+            action=action,
+            workspace=request.workspace,
+            statement=request.statement,
+        )
+        self.pools.offer(Dispatch(routed=routed, call=call))
+
+    async def run(self, *args, **fields):
+        self.send(*args, **fields)
+        return await asyncio.wait_for(self.executions.get(), 20)
+
+    async def begin(self):
+        return (await self.run(action=Action.BEGIN)).result.transaction_id
+
+
+def run_with_database(test, **settings):
+    """Run a test against a fresh database and stop its pools."""
+
+    async def run():
+        database = Database(**settings)
+        await test(database)
+        await database.pools.stop()
+        assert database.n_open == 0
+
+    asyncio.run(run())
+
+
+def test_transaction_keeps_its_connection_to_itself():
+    """Guards against statements of two transactions, or of two workspaces, on one
+    connection, and against a finished transaction that is still usable.
+    """
+
+    async def test(database):
+        ids = [await database.begin(), await database.begin()]
+        assert ids[0] != ids[1] and all(item.startswith("a/") for item in ids)
+        statement = Action.TRANSACTION_STATEMENT
+        numbers = []
+        for transaction_id in (*ids, *ids):
+            fields = {"action": statement, "transaction_id": transaction_id}
+            numbers.append((await database.run(**fields)).result.n_changed)
+            foreign = await database.run(workspace="v", **fields)
+            assert foreign.failure.code is RefusalCode.UNKNOWN_TRANSACTION
+            rejected = await database.run("reject", **fields)
+            assert rejected.failure.code is RefusalCode.STATEMENT
+        assert numbers[0] != numbers[1] and numbers[:2] == numbers[2:]
+        assert {workspace for _, _, workspace in database.calls} == {"w"}
+        end = {"action": Action.COMMIT, "transaction_id": ids[0]}
+        assert (await database.run(**end)).failure is None
+        again = await database.run(**end)
+        assert again.failure.code is RefusalCode.UNKNOWN_TRANSACTION
+        assert again.failure.outcome is Outcome.NOT_RUN
+        assert (await database.run()).result.n_changed == numbers[0]
+        assert database.n_open == 2
+
+    run_with_database(test)
+
+
+def test_half_used_connection_is_closed():
+    """Guards against a connection with an open transaction, a call in flight or an
+    unknown state that serves another request.
+    """
+
+    async def test(database):
+        first = await database.begin()
+        bound = {"action": Action.TRANSACTION_STATEMENT, "transaction_id": first}
+        broken = await database.run("break", **bound)
+        assert broken.failure.outcome is Outcome.UNKNOWN
+        assert not database.connections[0].is_open
+        gone = await database.run(**bound)
+        assert gone.failure.code is RefusalCode.UNKNOWN_TRANSACTION
+        hung = await database.run("hang", deadline=SystemClock().now() + 0.05)
+        assert hung.failure.code is RefusalCode.DEADLINE
+        assert hung.failure.outcome is Outcome.UNKNOWN
+        assert not database.connections[1].is_open
+        assert (await database.run()).result.n_changed == 2
+
+    run_with_database(test)
+
+
+def test_connection_limit_delays_work_until_its_deadline():
+    """Guards against an error for work that a busy database could run later, and
+    against a wait without end.
+    """
+
+    async def test(database):
+        assert (await database.run()).failure is None
+        database.n_busy = 1_000_000
+        for _ in range(4):
+            database.send()
+        results = [await database.executions.get() for _ in range(4)]
+        assert [item.result.n_changed for item in results] == [0] * 4
+        await database.run("break")
+        late = await database.run(deadline=SystemClock().now() + 0.05)
+        assert late.failure.code is RefusalCode.DEADLINE
+        assert late.failure.outcome is Outcome.NOT_RUN
+
+    run_with_database(test, n_busy=2)
+
+
+def test_removed_database_finishes_transactions_and_takes_no_work():
+    """Guards against connections that stay open after a change of homes, and against
+    one that cuts off an open transaction.
+    """
+
+    async def test(database):
+        transaction_id = await database.begin()
+        await database.run()
+        database.pools.offer(GroupsChanged(groups=(), homes=()))
+        refused = await database.run()
+        assert refused.failure.code is RefusalCode.NO_HOME
+        assert database.n_open == 1
+        end = {"action": Action.COMMIT, "transaction_id": transaction_id}
+        assert (await database.run(**end)).failure is None
+
+    run_with_database(test)
