--- a/src/sardinemill/adapters/store.py
+++ b/src/sardinemill/adapters/store.py
@@ -12,7 +12,6 @@
 
 from ..control import InstanceInfo
 from ..errors import Outcome, StoreConflict, StoreError, StoreUnavailable
-from ..groups import Address
 from ..interfaces import StoreObject
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -34,18 +33,19 @@
 class HttpStore:
     """Store over HTTP; owns its client session.
 
+    :param base_url: address of the platform, such as ``http://10.0.0.1:9000``.
     :param data_centre: of this instance, named in each call.
     :param timeout_seconds: limit of one call; a watch may last longer by its own time.
     """
 
     def __init__(
         self,
-        address: Address,
-        *,
+        base_url: str,
         data_centre: str = "",
+        *,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> None:
-        self._address = address
+        self._base_url = base_url.rstrip("/")
         self._headers = {DATA_CENTRE_HEADER: data_centre} if data_centre else {}
         self._timeout_seconds = timeout_seconds
         self._session: aiohttp.ClientSession | None = None
@@ -127,7 +127,7 @@
                 asyncio.timeout(self._timeout_seconds + extra_seconds),
                 self._session.request(
                     method,
-                    URL(f"http://{self._address}{path}", encoded=True),
+                    URL(f"{self._base_url}{path}", encoded=True),
                     data=value,
                     headers=headers,
                 ) as response,
@@ -148,21 +148,21 @@
             raise StoreConflict(
                 "another version is current",
                 step=method,
-                peer=str(self._address),
+                peer=self._base_url,
                 current_version=answer.version,
             )
         if answer.status in (400, 413):
             raise StoreError(
                 f"refused with status {answer.status}",
                 step=method,
-                peer=str(self._address),
+                peer=self._base_url,
             )
         raise self._make_unavailable(f"status {answer.status}", method)
 
     def _make_unavailable(self, message: str, method: str) -> StoreUnavailable:
         outcome = Outcome.NOT_RUN if method == "GET" else Outcome.UNKNOWN
         return StoreUnavailable(
-            message, step=method, peer=str(self._address), outcome=outcome
+            message, step=method, peer=self._base_url, outcome=outcome
         )
 
 
--- /dev/null
+++ b/src/sardinemill/daemon.py
@@ -0,0 +1,69 @@
+"""Console script ``sardinemill-instance``: one proxy instance."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from .adapters.clocks import SystemClock, SystemRandom
+from .adapters.peers import ZmqPeerLink
+from .adapters.store import HttpStore
+from .adapters.upstream import WebSocketConnector
+from .composition import Edges, Instance
+from .errors import SettingsError
+from .groups import Address
+from .interfaces import Outlet
+from .journal import open_journal
+from .settings import Settings, read_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+async def run_instance(settings: Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT, then drain it.
+
+    :raises ExceptionGroup: with every failure of tasks and hooks.
+    """
+    clock, random_source = SystemClock(), SystemRandom()
+    journal = open_journal(settings)
+    store = HttpStore(settings.store_url, settings.data_centre)
+    connector = WebSocketConnector(clock)
+
+    def make_peer_link(sink: Outlet) -> ZmqPeerLink:
+        address = Address(settings.peer_host, settings.peer_port)
+        return ZmqPeerLink(
+            settings.name, address, sink, clock, random_source, events=journal
+        )
+
+    instance = Instance(
+        settings,
+        Edges(
+            clock=clock,
+            random_source=random_source,
+            store=store,
+            connector=connector,
+            events=journal,
+            make_peer_link=make_peer_link,
+            parts=(store, connector),
+        ),
+    )
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await instance.application.start()
+    await instance.application.run_until(stopping)
+
+
+def main() -> None:
+    """Entry point of the console script; exits with 2 on bad settings."""
+    try:
+        settings = read_settings(sys.argv[1:], os.environ)
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    asyncio.run(run_instance(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -35,6 +35,12 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 2xx requests: placement, scheduling and transactions
+    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
+    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
+    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
+
     # 3xx databases and failover
     PRIMARY_SUSPECTED = EventKind(
         301, "warning", "Detect: a group's primary is suspected, or there is none."
@@ -91,12 +97,6 @@
         509, "warning", "The configuration has not been confirmed within the limit."
     )
 
-    # 2xx requests: placement, scheduling and transactions
-    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
-    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
-    TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
-    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
-
     # 6xx membership and peers
     INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
     INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
@@ -108,6 +108,8 @@
     )
     PEER_LINK_REPLACED = EventKind(
         605, "info", "The socket to a silent peer was replaced."
+    )
+
     # 8xx stand-ins
     STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
     STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -72,7 +72,9 @@
             await self._server.start()
             self._is_started = True
         store = HttpStore(
-            self._server.address, data_centre=data_centre, timeout_seconds=CALL_SECONDS
+            f"http://{self._server.address}",
+            data_centre=data_centre,
+            timeout_seconds=CALL_SECONDS,
         )
         self._stores.append(store)
         return store
