Let a frozen database run what it received, as a paused process does

Cause: a call that waited while the database was frozen was cancelled when its client gave up. A paused primary that resumes runs the writes in its buffers, and that is the harder case for the proxy.

Also: in-memory connections notice an unreachable or restarted database and can lose answers; flags of the command line go before the environment; a bad peer ends the daemon with status 2.

--- a/src/sardinemill/adapters/memory_upstream.py
+++ b/src/sardinemill/adapters/memory_upstream.py
@@ -2,8 +2,10 @@
 
 import itertools
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from functools import partial
 
 from ..control import (
     DatabaseReport,
@@ -14,7 +16,7 @@
 )
 from ..emulator.database import Database
 from ..emulator.service import DatabaseService
-from ..errors import UpstreamBusy, UpstreamUnavailable
+from ..errors import Outcome, UpstreamBusy, UpstreamUnavailable
 from ..groups import DatabaseDescription
 from ..interfaces import Clock
 from ..messages import UpstreamCall, UpstreamResult
@@ -108,48 +110,58 @@
 
 
 class MemoryConnection:
-    """Connection to a database of a :class:`MemoryGroup`."""
+    """Connection to a database of a :class:`MemoryGroup`.
+
+    :param find: finds the database, and raises when it cannot be reached.
+    """
 
     def __init__(
-        self, service: DatabaseService, number: int, on_close: Callable[[], None]
+        self,
+        find: Callable[[], DatabaseService],
+        number: int,
+        connector: "MemoryConnector",
     ) -> None:
-        self._service = service
+        self._find = find
+        self._service = find()
         self._number = number
-        self._on_close = on_close
+        self._connector = connector
         self._is_open = True
 
     async def run(self, call: UpstreamCall) -> UpstreamResult:
-        if not self._is_open:
+        # A restarted database knows nothing of the connection.
+        if not self._is_open or self._find() is not self._service:
             raise UpstreamUnavailable("the connection is closed", step="run")
         self._service.expire()
-        return await self._service.run(self._number, call)
+        result = await self._service.run(self._number, call)
+        self._connector.lose_answer(self._service.database.name)
+        return result
 
     async def close(self) -> None:
         if self._is_open:
             self._is_open = False
             self._service.close_connection(self._number)
-            self._on_close()
+            self._connector.release(self._service.database.name)
 
 
 class MemoryControlConnection:
     """Control channel to a database of a :class:`MemoryGroup`."""
 
-    def __init__(self, service: DatabaseService, clock: Clock) -> None:
-        self._service = service
+    def __init__(self, find: Callable[[], DatabaseService], clock: Clock) -> None:
+        self._find = find
         self._clock = clock
 
     async def report(
         self, *, wait_for: LogPosition | None, timeout_seconds: float
     ) -> DatabaseReport:
         asked_at = self._clock.now()
-        report = await self._service.report(wait_for, timeout_seconds)
+        report = await self._find().report(wait_for, timeout_seconds)
         return replace(report, asked_at=asked_at, received_at=self._clock.now())
 
     async def fence(self, order: FenceOrder) -> FenceAnswer:
-        return self._service.fence(order)
+        return self._find().fence(order)
 
     async def promote(self, order: PromoteOrder) -> PromoteAnswer:
-        return self._service.promote(order)
+        return self._find().promote(order)
 
     async def close(self) -> None:
         """Nothing to release."""
@@ -159,6 +171,10 @@
     """Connector to databases in this process.
 
     A database of an unknown group becomes the only member of a new group.
+
+    :ivar unreachable: names of databases to which nothing gets through.
+    :ivar n_lost_answers: for each database, answers to statements still to be lost
+        after the effect.
     """
 
     def __init__(
@@ -167,27 +183,41 @@
         self._groups = {group.name: group for group in groups}
         self._clock = SystemClock() if clock is None else clock
         self._numbers = itertools.count(1)
-        self._n_open: dict[str, int] = {}
+        self._n_open: Counter[str] = Counter()
         self.unreachable: set[str] = set()
+        self.n_lost_answers: Counter[str] = Counter()
 
     async def connect(
         self, database: DatabaseDescription, *, timeout_seconds: float
     ) -> MemoryConnection:
-        service = self._find(database)
-        name = database.name
-        if self._n_open.get(name, 0) >= database.n_connections:
-            raise UpstreamBusy("no free connection", step="connect", peer=name)
-        self._n_open[name] = self._n_open.get(name, 0) + 1
-
-        def release() -> None:
-            self._n_open[name] -= 1
-
-        return MemoryConnection(service, next(self._numbers), release)
+        find = partial(self._find, database)
+        find()
+        if self._n_open[database.name] >= database.n_connections:
+            raise UpstreamBusy("no free connection", step="connect", peer=database.name)
+        self._n_open[database.name] += 1
+        return MemoryConnection(find, next(self._numbers), self)
 
     async def connect_control(
         self, database: DatabaseDescription, *, timeout_seconds: float
     ) -> MemoryControlConnection:
-        return MemoryControlConnection(self._find(database), self._clock)
+        find = partial(self._find, database)
+        find()
+        return MemoryControlConnection(find, self._clock)
+
+    def release(self, name: str) -> None:
+        """Count a closed connection."""
+        self._n_open[name] -= 1
+
+    def lose_answer(self, name: str) -> None:
+        """Raise instead of answering when an answer is to be lost.
+
+        :raises UpstreamUnavailable: with outcome *unknown*.
+        """
+        if self.n_lost_answers[name] > 0:
+            self.n_lost_answers[name] -= 1
+            raise UpstreamUnavailable(
+                "the answer was lost", step="run", peer=name, outcome=Outcome.UNKNOWN
+            )
 
     def _find(self, database: DatabaseDescription) -> DatabaseService:
         if database.name in self.unreachable:
--- a/src/sardinemill/emulator/daemons.py
+++ b/src/sardinemill/emulator/daemons.py
@@ -11,6 +11,7 @@
 import structlog
 
 from ..application import Application, Part
+from ..errors import SettingsError
 from ..events import Event, EventName
 from ..groups import Address
 
@@ -18,11 +19,11 @@
 def parse_address(text: str) -> Address:
     """Read ``host:port``.
 
-    :raises ValueError: when it has another form.
+    :raises SettingsError: when it has another form.
     """
     host, separator, port = text.rpartition(":")
     if not separator or not host or not port.isdigit():
-        raise ValueError(f"{text!r} is not host:port")
+        raise SettingsError(f"{text!r} is not host:port", step="start")
     return Address(host, int(port))
 
 
@@ -32,33 +33,36 @@
     arguments: Sequence[str],
     environment: Mapping[str, str],
 ) -> list[str]:
-    """Add flags that are set only in the environment.
+    """Put flags from the environment before those of the command line.
 
     :param prefix: a flag ``--some-flag`` is read from ``<prefix>SOME_FLAG``; lists are
         separated by commas.
     """
-    result = list(arguments)
-    given = {argument.split("=")[0] for argument in arguments}
+    result: list[str] = []
     for name, parameter in inspect.signature(function).parameters.items():
         flag = "--" + name.replace("_", "-")
         value = environment.get(prefix + name.upper())
-        no_flag = flag.replace("--", "--no-", 1)
-        if value is None or flag in given or no_flag in given:
+        if value is None:
             continue
         if parameter.annotation is bool:
             is_set = value.lower() in ("1", "true", "yes")
-            result.append(flag if is_set else no_flag)
+            result.append(flag if is_set else flag.replace("--", "--no-", 1))
         elif parameter.default == ():
             result += [flag, *filter(None, value.split(","))]
         else:
             result.append(f"{flag}={value}")
-    return result
+    # The last of two equal flags counts, so the command line comes after.
+    return [*result, *arguments]
 
 
 def run_main(function: Callable[..., None], prefix: str) -> None:
     """Run a daemon's function with flags from command line and environment."""
     arguments = add_environment(function, prefix, sys.argv[1:], os.environ)
-    defopt.run(function, argv=arguments)
+    try:
+        defopt.run(function, argv=arguments)
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        sys.exit(2)
 
 
 def log_event(event: Event) -> None:
--- a/src/sardinemill/emulator/database_daemon.py
+++ b/src/sardinemill/emulator/database_daemon.py
@@ -4,6 +4,7 @@
 import uuid
 
 from ..adapters.clocks import SystemClock
+from ..errors import SettingsError
 from ..groups import Address, DatabaseDescription
 from .daemons import configure_log, log_event, parse_address, run_main, serve
 from .database_server import CONNECT_SECONDS, DatabaseOptions, DatabaseServer
@@ -71,7 +72,7 @@
 def _parse_peer(text: str) -> tuple[str, Address]:
     name, separator, address = text.partition("=")
     if not separator:
-        raise ValueError(f"{text!r} is not name=host:port")
+        raise SettingsError(f"{text!r} is not name=host:port", step="start")
     return name, parse_address(address)
 
 
--- a/src/sardinemill/emulator/database_server.py
+++ b/src/sardinemill/emulator/database_server.py
@@ -240,6 +240,9 @@
         calls: set[asyncio.Task[None]] = set()
         try:
             while True:
+                # Frames that arrive while the database is frozen run afterwards, also
+                # when their client has given up, as with a paused process.
+                await self._gate.enter()
                 message = await socket.receive(timeout=CLIENT_SILENCE_SECONDS)
                 if message.type is WSMsgType.PING:
                     work = self._gate.answer_ping(socket, message.data)
@@ -252,6 +255,8 @@
                 call = asyncio.create_task(work)
                 calls.add(call)
                 call.add_done_callback(calls.discard)
+                # Lets the call start before a close behind it cancels it.
+                await asyncio.sleep(0)
         except TimeoutError:
             if request.transport is not None:
                 request.transport.abort()
--- a/tests/test_emulator_database.py
+++ b/tests/test_emulator_database.py
@@ -235,6 +235,27 @@
     assert read_names(database) == []
 
 
+def test_superseded_member_is_not_promoted():
+    """Guards against two primaries of one term after an orderer repeats itself."""
+    group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
+    for name in ("b", "c"):
+        order = FenceOrder(group="hives", database=name, term=2, orderer="north")
+        assert group.get_database(name).fence(order).accepted
+    orders = {
+        name: PromoteOrder(group="hives", database=name, term=2, orderer="north")
+        for name in NAMES
+    }
+    assert group.get_database("b").promote(orders["b"]).accepted
+    assert group.replicate("b", "c")
+    assert not group.get_database("c").promote(orders["c"]).accepted
+    # The old primary learns the term from the log, not from a fence.
+    assert group.replicate("b", "a")
+    assert not group.get_database("a").promote(orders["a"]).accepted
+    group.restart("c")
+    assert group.replicate("b", "c")
+    assert group.get_database("c").position == group.get_database("b").position
+
+
 def test_idempotency_key_survives_a_change_of_primary():
     """Guards against a second run of a write that is retried with its key."""
     group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -256,19 +256,22 @@
 
 
 @pytest.mark.parametrize(
-    "faults",
+    ("faults", "n_written"),
     [
-        {"n_lost_answers": 1},
-        {"is_silencing": True},
-        {"is_frozen": True},
-        {"delay_seconds": 60},
+        ({"n_lost_answers": 1}, 1),
+        ({"is_silencing": True}, 0),
+        ({"is_frozen": True}, 1),
+        ({"delay_seconds": 60}, 1),
     ],
 )
 @pytest.mark.parametrize(
     ("call", "outcome"), [(INSERT, Outcome.UNKNOWN), (READ, Outcome.NOT_RUN)]
 )
-def test_missing_answer(faults, call, outcome):
-    """Guards against a lost write that is reported as not run."""
+def test_missing_answer(faults, n_written, call, outcome):
+    """Guards against a lost write that is reported as not run.
+
+    A frozen database runs the write afterwards, as a paused process does.
+    """
 
     async def scenario(world):
         connection = await create_hive(world)
@@ -285,7 +288,8 @@
                 await control.report(wait_for=None, timeout_seconds=1)
         await world.set_faults("a", is_frozen=False, delay_seconds=0)
         again = await world.connect("a")
-        assert len((await again.run(READ)).rows) <= 1
+        n_rows = len((await again.run(READ)).rows)
+        assert n_rows == (n_written if call is INSERT else 0)
 
     options = {"heartbeat_seconds": 0.2, "call_timeout_seconds": 1.0}
     run_scenario(SocketWorld(**options), scenario)
