--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,6 +9,7 @@
     Outcome,
     StatementError,
     UpstreamBusy,
+    UpstreamFenced,
     UpstreamUnavailable,
 )
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
@@ -46,6 +47,8 @@
             raise StatementError("no", step="run")
         if sql == "break":
             raise UpstreamUnavailable("gone", step="run", outcome=Outcome.UNKNOWN)
+        if sql == "fence":
+            raise UpstreamFenced("fenced", step="run")
         if sql == "hang":
             await asyncio.Event().wait()
         return UpstreamResult(call_id=call.call_id, n_changed=self.number)
@@ -62,6 +65,7 @@
 
     def __init__(self, n_busy=0):
         self.n_busy = n_busy
+        self.n_attempts = 0
         self.connections, self.calls = [], []
         self.executions = asyncio.Queue()
         self.pools = PoolSet("a", self, SystemClock(), SeededRandom(1), self)
@@ -69,6 +73,7 @@
         self.n_requests = 0
 
     async def connect(self, database, *, timeout_seconds):
+        self.n_attempts += 1
         if self.n_busy > 0:
             self.n_busy -= 1
             raise UpstreamBusy("limit", step="connect")
@@ -156,6 +161,14 @@
         assert again.failure.outcome is Outcome.NOT_RUN
         assert (await database.run()).result.n_changed == numbers[0]
         assert database.n_open == 2
+        # Statements that were sent too early do not free the connection twice.
+        bound = {"action": statement, "transaction_id": ids[1]}
+        end = {"action": Action.ROLLBACK, "transaction_id": ids[1]}
+        for fields in (end, bound, bound, {}, {}, {}):
+            database.send(**fields)
+        results = [await database.executions.get() for _ in range(6)]
+        refused = [item for item in results if item.failure is not None]
+        assert [item.routed.request.action for item in refused] == [statement] * 2
 
     run_with_database(test)
 
@@ -178,6 +191,9 @@
         assert hung.failure.outcome is Outcome.UNKNOWN
         assert not database.connections[1].is_open
         assert (await database.run()).result.n_changed == 2
+        bound["transaction_id"] = await database.begin()
+        assert (await database.run("fence", **bound)).failure is not None
+        assert not database.connections[2].is_open
 
     run_with_database(test)
 
@@ -198,6 +214,8 @@
         late = await database.run(deadline=SystemClock().now() + 0.05)
         assert late.failure.code is RefusalCode.DEADLINE
         assert late.failure.outcome is Outcome.NOT_RUN
+        # Attempts are spaced out; without a delay there would be thousands.
+        assert database.n_attempts < 100
 
     run_with_database(test, n_busy=2)
 
@@ -216,5 +234,8 @@
         assert database.n_open == 1
         end = {"action": Action.COMMIT, "transaction_id": transaction_id}
         assert (await database.run(**end)).failure is None
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert database.n_open == 0
 
     run_with_database(test)
