--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -23,6 +23,9 @@
         control.Loan,
         control.LoanReturn,
         control.PrimaryChanged,
+        control.PrimaryOpinion,
+        control.ReservePledge,
+        control.ReserveQuery,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -133,6 +133,21 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrimaryOpinion:
+    """What one home of a group thinks of the group's primary.
+
+    :param is_suspected: whether the observer itself hears nothing from the database.
+    :param wants_answer: asks the receiver for its own opinion.
+    """
+
+    group: str
+    database: str
+    observer: str
+    is_suspected: bool
+    wants_answer: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupsChanged:
     """Groups whose home this instance is, with the instances ranked as homes.
@@ -233,12 +248,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BorrowRequest:
-    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``."""
+    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
+
+    :param returns: loans of this owner that ended early, spent or not.
+    """
 
     borrow_id: str
     borrower: str
     workspace: str
     n_tokens: float
+    returns: "tuple[LoanReturn, ...]" = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -263,7 +282,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoanReturn:
-    """Unspent tokens of a loan that has not ended yet."""
+    """Unspent tokens of a loan that has not ended yet; 0 when all were spent."""
 
     borrow_id: str
     borrower: str
@@ -279,6 +298,8 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`
+        once its loans have ended.
     """
 
     shard: int
@@ -286,14 +307,65 @@
     epoch: int
     valid_until: float
     taken_at: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardClosed:
+    """No loan of the shard is open, so its lease may be released."""
+
+    shard: int
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeatLease:
-    """Seat of this instance; ``None`` as seat means that it holds none."""
+    """Seat of this instance; ``None`` as seat means that it holds none.
+
+    :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
+        answers once no pledge of it is open.
+    """
 
     seat: int | None
     valid_until: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeatClosed:
+    """The reserve of the seat is neither used nor pledged; it may be released."""
+
+    seat: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveQuery:
+    """A shard's owner asks instances to pledge their reserves to it.
+
+    :param asked_at: seconds on the owner's clock, echoed by the answer.
+    :param term_seconds: how long the reserves shall stay unused, from receipt.
+    """
+
+    shard: int
+    epoch: int
+    asked_at: float
+    term_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservePledge:
+    """Promise not to use the reserve of a seat for the workspaces of a shard.
+
+    :param term_seconds: counted by the instance from receipt of the question; the
+        owner counts it from when it asked.
+    """
+
+    shard: int
+    epoch: int
+    instance: str
+    seat: int
+    asked_at: float
+    term_seconds: float
 
 
 # Configuration
@@ -301,11 +373,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VersionQuery:
-    """Asks a relay for its configuration version; ``query_id`` matches the answer."""
+    """Asks a relay for its configuration version; ``query_id`` matches the answer.
+
+    :param lacking: parts that the last answer left out for their size.
+    """
 
     query_id: str
     source: str
     known_version: int
+    lacking: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -317,6 +393,8 @@
     :param store_unreachable_seconds: how long the relay's store calls have failed; 0
         while they succeed.
     :param document: encoded configuration when the asker's version is older.
+    :param outage_age_seconds: age of the evidence that no data centre reaches the
+        store, or ``None`` without such evidence.
     """
 
     query_id: str
@@ -326,6 +404,7 @@
     confirmed_age_seconds: float
     store_unreachable_seconds: float
     document: bytes | None = field(default=None, repr=False)
+    outage_age_seconds: float | None = None
 
 
 # Home side
@@ -349,6 +428,13 @@
     """This instance was asked to stop; it takes no new work from now on."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainFinished:
+    """A step has no work left after :class:`DrainStarted`; may be repeated."""
+
+    step: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceList:
     """Platform's list of instances, passed on inside a data centre."""
