--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -264,18 +264,37 @@
             "keys": Part(keys=keys),
             "groups": Part(groups=self.groups),
         }
+        await self._put_parts(parts, Head(), "1")
+
+    async def withdraw_key(self, workspace: str) -> None:
+        """Write version 2 of the configuration, without a workspace's key."""
+        keys = tuple(
+            Key(key_id=f"key-{name}", workspace=name, digest=hash_key(key))
+            for name, key in self.keys.items()
+            if name != workspace
+        )
+        names = dict.fromkeys(("plans", "workspaces", "keys", "groups"), "1")
+        head = Head(version=1, parts=names)
+        await self._put_parts({"keys": Part(keys=keys)}, head, "2")
+
+    async def _put_parts(
+        self, parts: dict[str, Part], before: Head, part_version: str
+    ) -> None:
         codec = MessagePackDocuments()
         store = HttpStore(self.store_url)
         await store.start()
         try:
             for name, part in parts.items():
                 await store.put(
-                    name_part_object(name, "1"),
+                    name_part_object(name, part_version),
                     codec.encode_part(part),
                     expected_version=0,
                 )
-            head = Head(version=1, parts=dict.fromkeys(parts, "1"))
-            await store.put(HEAD_NAME, codec.encode_head(head), expected_version=0)
+            names = {**before.parts, **dict.fromkeys(parts, part_version)}
+            head = Head(version=before.version + 1, parts=names)
+            await store.put(
+                HEAD_NAME, codec.encode_head(head), expected_version=before.version
+            )
         finally:
             await store.stop()
 
