--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,44 @@
+"""Slopes of state, messages, processor time and memory, for docs/CAPACITY.md.
+
+``python -m bench.slopes`` measures all; names of parts as arguments measure those.
+"""
+
+import sys
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+
+from .fits import Fit
+from .results import print_table, write_results
+from .slopes_fleet import measure_fleet
+from .slopes_front import measure_connections, measure_statements
+from .slopes_state import (
+    measure_authentication,
+    measure_heartbeats,
+    measure_lending,
+    measure_reports,
+)
+
+PARTS: Mapping[str, Callable[[], list[Fit]]] = {
+    "authentication": measure_authentication,
+    "heartbeats": measure_heartbeats,
+    "lending": measure_lending,
+    "reports": measure_reports,
+    "connections": measure_connections,
+    "statements": measure_statements,
+    "fleet": measure_fleet,
+}
+
+
+def run_slopes(names: list[str]) -> None:
+    """Measure the named parts, print the lines and append them to the results."""
+    fits: list[Fit] = []
+    for name in names or list(PARTS):
+        fits += PARTS[name]()
+    rows = [asdict(fit) for fit in fits]
+    print_table(rows)
+    path = write_results("slopes", rows)
+    print(f"written to {path.name}")
+
+
+if __name__ == "__main__":
+    run_slopes(sys.argv[1:])
