Let pings and ids alone find silent and crossed connections in the tests

These tests now have a time-out of an hour and a guard of 60 s against hanging; both faults are found. The heartbeat of the tests is the default of 1 s instead of 0.2 s, so that a busy machine does not break a healthy connection.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -138,7 +138,9 @@
     async def run():
         await world.start()
         try:
-            return await scenario(world)
+            # Ends a test that would hang.
+            async with asyncio.timeout(60):
+                return await scenario(world)
         finally:
             await world.stop()
 
@@ -256,18 +258,19 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "n_written"),
+    ("faults", "n_written", "call_timeout_seconds"),
     [
-        ({"n_lost_answers": 1}, 1),
-        ({"is_silencing": True}, 0),
-        ({"is_frozen": True}, 1),
-        ({"delay_seconds": 60}, 1),
+        ({"n_lost_answers": 1}, 1, 0.5),
+        ({"delay_seconds": 60}, 1, 0.5),
+        # Pings must find these.
+        ({"is_silencing": True}, 0, 3600),
+        ({"is_frozen": True}, 1, 3600),
     ],
 )
 @pytest.mark.parametrize(
     ("call", "outcome"), [(INSERT, Outcome.UNKNOWN), (READ, Outcome.NOT_RUN)]
 )
-def test_missing_answer(faults, n_written, call, outcome):
+def test_missing_answer(faults, n_written, call_timeout_seconds, call, outcome):
     """Guards against a lost write that is reported as not run.
 
     A frozen database runs the write afterwards, as a paused process does.
@@ -291,8 +294,7 @@
         n_rows = len((await again.run(READ)).rows)
         assert n_rows == (n_written if call is INSERT else 0)
 
-    options = {"heartbeat_seconds": 0.2, "call_timeout_seconds": 1.0}
-    run_scenario(SocketWorld(**options), scenario)
+    run_scenario(SocketWorld(call_timeout_seconds=call_timeout_seconds), scenario)
 
 
 def test_crossed_answers_are_detected():
@@ -312,7 +314,8 @@
         third = await world.connect("a")
         assert (await third.run(READ)).rows == (("x",),)
 
-    run_scenario(SocketWorld(), scenario)
+    # The id alone must show it, long before a time-out.
+    run_scenario(SocketWorld(call_timeout_seconds=3600), scenario)
 
 
 def test_cut_link_and_lag_hold_back_replication():
