--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -108,6 +108,8 @@
     )
     PEER_LINK_REPLACED = EventKind(
         605, "info", "The socket to a silent peer was replaced."
+    )
+
     # 8xx stand-ins
     STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
     STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
