--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -11,6 +11,7 @@
 
 from ..codecs import encode_message
 from ..control import InstanceInfo, MembershipChanged, PeerEnvelope
+from ..errors import CodecError
 from ..events import Event, EventName
 from ..groups import Address
 from ..interfaces import Clock, Outlet, RandomSource
@@ -25,6 +26,8 @@
 # A larger message could hold up all others of its connection.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 PING_SECONDS = 1.0
+# Peers in the same region take what was sent within a few milliseconds.
+STOP_LINGER_MILLISECONDS = 500
 SILENCE_SECONDS = 3.0
 RECONNECT_SECONDS = 0.1
 MAX_RECONNECT_SECONDS = 1.0
@@ -116,17 +119,22 @@
         """Nothing to do: replies leave while the stages drain."""
 
     async def stop(self) -> None:
-        """Close all sockets; what was not sent is lost."""
+        """Send what was offered, then close all sockets.
+
+        The last replies of a drain are offered shortly before.
+        """
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._send_waiting()
         for connection in self._connections.values():
-            connection.socket.close(linger=0)
+            connection.socket.close(linger=STOP_LINGER_MILLISECONDS)
         self._connections.clear()
         if self._router is not None:
             self._router.close(linger=0)
         if self._context is not None:
-            self._context.term()
+            # Waits for the lingering sockets, so it must not hold up the event loop.
+            await asyncio.to_thread(self._context.term)
 
     def _set_pings(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
         """Let the library close connections whose other end is silent."""
@@ -196,16 +204,26 @@
     async def _send_all(self) -> None:
         while True:
             await self._outbox.wait(None)
-            while (message := self._outbox.take()) is not None:
-                if isinstance(message, PeerEnvelope):
-                    self._send(message)
-                else:
-                    self._apply_peers()
+            self._send_waiting()
             await asyncio.sleep(0)
 
+    def _send_waiting(self) -> None:
+        while (message := self._outbox.take()) is not None:
+            if isinstance(message, PeerEnvelope):
+                self._send(message)
+            else:
+                self._apply_peers()
+
     def _send(self, envelope: PeerEnvelope) -> None:
-        data = encode_message(envelope.message)
+        try:
+            data = encode_message(envelope.message)
+        except CodecError:
+            self.counters.n_malformed += 1
+            return
         names = [envelope.peer] if envelope.peer != "*" else list(self._connections)
+        if len(data) > MAX_MESSAGE_BYTES:
+            self._count_full(envelope.peer)
+            return
         for name in names:
             connection = self._connections.get(name)
             if connection is None:
--- a/src/sardinemill/adapters/worker.py
+++ b/src/sardinemill/adapters/worker.py
@@ -153,25 +153,22 @@
         if refusal is not None:
             self._finish(refusal)
             return
-        started_at = self._clock.now()
         try:
             await self._connect()
         except UpstreamBusy:
             self.n_outstanding -= 1
             self._give_back(self, dispatch)
             return
-        except SardinemillError as error:
+        except Exception as error:
             # Nothing was sent, whatever the connector knows about the failure.
-            failure = make_failure(
-                dispatch.routed,
-                find_code(error),
-                Outcome.NOT_RUN,
-                error.message,
-                self._clock.now() - started_at,
-            )
-            self._finish(failure)
+            code, text = RefusalCode.INTERNAL, f"unexpected {type(error).__name__}"
+            if isinstance(error, SardinemillError):
+                code, text = find_code(error), error.message
+            self._finish(make_failure(dispatch.routed, code, Outcome.NOT_RUN, text))
             return
-        self._finish(await self._execute(dispatch, started_at))
+        # Opening the connection may have taken the rest of the time.
+        refusal = self._check(dispatch.routed)
+        self._finish(refusal or await self._execute(dispatch))
 
     def _finish(self, execution: Execution) -> None:
         self.n_outstanding -= 1
@@ -197,8 +194,9 @@
                 self._database, timeout_seconds=CONNECT_TIMEOUT_SECONDS
             )
 
-    async def _execute(self, dispatch: Dispatch, started_at: float) -> Execution:
+    async def _execute(self, dispatch: Dispatch) -> Execution:
         routed = dispatch.routed
+        started_at = self._clock.now()
         try:
             result = await self._run_call(dispatch)
         except StatementError as error:
@@ -219,6 +217,16 @@
                 "the database gave no answer before the deadline",
                 self._clock.now() - started_at,
             )
+        except Exception as error:
+            # A fault of an adapter must not end the task and lose the reply.
+            await self._close()
+            return make_failure(
+                routed,
+                RefusalCode.INTERNAL,
+                Outcome.UNKNOWN,
+                f"unexpected {type(error).__name__}",
+                self._clock.now() - started_at,
+            )
         return Execution(
             routed=routed,
             result=self._note_transaction(routed, result),
@@ -270,10 +278,14 @@
 
 
 def refuse_unknown_transaction(routed: RoutedRequest) -> Execution:
-    """Make the failure of a statement whose transaction is not open here."""
+    """Make the failure of a statement whose transaction is not open here.
+
+    A repeated commit may have taken effect the first time.
+    """
+    is_commit = routed.request.action is Action.COMMIT
     return make_failure(
         routed,
         RefusalCode.UNKNOWN_TRANSACTION,
-        Outcome.NOT_RUN,
+        Outcome.UNKNOWN if is_commit else Outcome.NOT_RUN,
         "the transaction is not open on this connection",
     )
--- a/src/sardinemill/filters/calls.py
+++ b/src/sardinemill/filters/calls.py
@@ -1,16 +1,32 @@
-"""Builds the call that a connection runs from a routed request."""
+"""Builds what leaves a queue: the call of a connection, or a refusal."""
 
 import hashlib
 from collections.abc import Iterable
 
-from ..messages import RoutedRequest, SqlValue, Statement, UpstreamCall
+from ..errors import Outcome
+from ..interfaces import Emission
+from ..messages import (
+    Dispatch,
+    Refusal,
+    RefusalCode,
+    Request,
+    RoutedRequest,
+    SqlValue,
+    Statement,
+    UpstreamCall,
+)
 
+_REFUSAL_TEXTS = {
+    RefusalCode.DEADLINE: "the deadline passed in the queue",
+    RefusalCode.NO_HOME: "this instance holds no connections to the database",
+    RefusalCode.OVERLOADED: "the queue of the workspace is full",
+    RefusalCode.UNKNOWN_TRANSACTION: "the transaction is not open here",
+}
+_RETRY_CODES = frozenset({RefusalCode.NO_HOME, RefusalCode.OVERLOADED})
 
-def make_call(routed: RoutedRequest, expected_term: int) -> UpstreamCall:
-    """Make the upstream call of a request.
 
-    :param expected_term: term that the primary must still have, 0 for reads.
-    """
+def make_call(routed: RoutedRequest) -> UpstreamCall:
+    """Make the upstream call of a request."""
     request = routed.request
     body_hash = ""
     if request.idempotency_key is not None and request.statement is not None:
@@ -21,7 +37,7 @@
         workspace=request.workspace,
         statement=request.statement,
         minimum_position=routed.requirement,
-        expected_term=expected_term,
+        expected_term=routed.expected_term,
         idempotency_key=request.idempotency_key,
         body_hash=body_hash,
     )
@@ -53,3 +69,25 @@
         return value
     # ``repr`` of a float names exactly one number.
     return repr(value).encode() if not isinstance(value, str) else value.encode()
+
+
+def make_dispatch(routed: RoutedRequest) -> Emission:
+    """Hand a request to a connection."""
+    return Emission("execution", Dispatch(routed=routed, call=make_call(routed)))
+
+
+def refuse_queued(
+    request: Request, code: RefusalCode, outcome: Outcome = Outcome.NOT_RUN
+) -> Emission:
+    """Refuse a request that waited, or could not wait, for a connection."""
+    return Emission(
+        "reply",
+        Refusal(
+            request_id=request.request_id,
+            code=code,
+            outcome=outcome,
+            step="scheduling",
+            message=_REFUSAL_TEXTS[code],
+            retry_after_seconds=1.0 if code in _RETRY_CODES else None,
+        ),
+    )
--- a/src/sardinemill/filters/open_transactions.py
+++ b/src/sardinemill/filters/open_transactions.py
@@ -4,13 +4,16 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..messages import Action, RefusalCode, Request, RoutedRequest
+from ..errors import Outcome
+from ..messages import Action, Execution, RefusalCode, Request, RoutedRequest
 from ..positions import ORIGIN
 from .queueing import QueuedWork
 
 # The databases roll back after 15 s without a statement; the home comes first, so that
 # callers get a typed answer.
 IDLE_SECONDS = 10.0
+# Transactions whose end is remembered, so that a late commit gets a certain answer.
+N_REMEMBERED = 1024
 
 BOUND_ACTIONS = frozenset(
     {Action.TRANSACTION_STATEMENT, Action.COMMIT, Action.ROLLBACK}
@@ -61,15 +64,28 @@
         return work
 
 
-def is_end(action: Action, failure_code: RefusalCode | None) -> bool:
+def is_end(execution: Execution) -> bool:
     """Tell whether a statement with this outcome ended its transaction.
 
     A statement that the database rejected leaves the transaction open; every other
     failure closes its connection.
     """
-    if action in (Action.COMMIT, Action.ROLLBACK):
+    if execution.routed.request.action in (Action.COMMIT, Action.ROLLBACK):
         return True
-    return failure_code is not None and failure_code is not RefusalCode.STATEMENT
+    failure = execution.failure
+    return failure is not None and failure.code is not RefusalCode.STATEMENT
+
+
+def is_rollback(execution: Execution) -> bool:
+    """Tell whether the end of a transaction certainly undid it.
+
+    The database rolls back when its connection closes, so only a commit that may have
+    run leaves a doubt.
+    """
+    if execution.routed.request.action is not Action.COMMIT:
+        return True
+    failure = execution.failure
+    return failure is not None and failure.outcome is Outcome.NOT_RUN
 
 
 def make_rollback(start: TransactionStart, deadline: float) -> RoutedRequest:
@@ -100,6 +116,7 @@
 
     def __init__(self) -> None:
         self._open: dict[str, OpenTransaction] = {}
+        self._rolled_back: OrderedDict[str, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._open)
@@ -123,8 +140,23 @@
             return None
         return transaction
 
-    def remove(self, transaction: OpenTransaction) -> Iterator[QueuedWork]:
-        """Forget a transaction and return the statements that never ran."""
-        del self._open[transaction.start.transaction_id]
+    def may_have_committed(self, transaction_id: str | None) -> bool:
+        """Tell whether an earlier commit of the transaction may have taken effect."""
+        key = transaction_id or ""
+        return key not in self._open and key not in self._rolled_back
+
+    def remove(
+        self, transaction: OpenTransaction, *, is_rolled_back: bool
+    ) -> Iterator[QueuedWork]:
+        """Forget a transaction and return the statements that never ran.
+
+        :param is_rolled_back: whether it is certain that no commit took effect.
+        """
+        transaction_id = transaction.start.transaction_id
+        del self._open[transaction_id]
+        if is_rolled_back:
+            self._rolled_back[transaction_id] = None
+            if len(self._rolled_back) > N_REMEMBERED:
+                self._rolled_back.popitem(last=False)
         while transaction.waiting:
             yield transaction.waiting.popitem(last=False)[1]
--- a/src/sardinemill/filters/placement.py
+++ b/src/sardinemill/filters/placement.py
@@ -174,9 +174,10 @@
         else:
             home = find_transaction_home(request.transaction_id)
             if home not in self._reachable:
-                yield self._refuse(
-                    request, RefusalCode.UNKNOWN_TRANSACTION, Outcome.NOT_RUN
-                )
+                # A repeated commit may have taken effect the first time.
+                is_commit = request.action is Action.COMMIT
+                outcome = Outcome.UNKNOWN if is_commit else Outcome.NOT_RUN
+                yield self._refuse(request, RefusalCode.UNKNOWN_TRANSACTION, outcome)
                 return
         yield self._dispatch(pending, home, now)
 
--- a/src/sardinemill/filters/scheduling.py
+++ b/src/sardinemill/filters/scheduling.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, replace
 
 from ..configuration import (
-    EMPTY_CONFIGURATION,
-    Configuration,
     ConfigurationChanged,
     ConfigurationConfirmed,
 )
@@ -18,15 +16,13 @@
 from ..messages import (
     Action,
     Cancellation,
-    Dispatch,
     Execution,
-    Refusal,
     RefusalCode,
     Request,
     RoutedRequest,
 )
 from .authentication import Authorization, KeyPolicy
-from .calls import make_call
+from .calls import make_dispatch, refuse_queued
 from .database_queue import DatabaseQueue, LoadReports, RunningWork
 from .open_transactions import (
     BOUND_ACTIONS,
@@ -35,23 +31,15 @@
     TransactionStart,
     TransactionTable,
     is_end,
+    is_rollback,
     make_rollback,
 )
+from .plans import WorkspacePlans
 from .queueing import QueuedWork, QueuePolicy, ServiceTimes, WeightedFairQueueing
 
 STEP = "scheduling"
-# Limit of a workspace without a plan in the configuration in force.
-DEFAULT_N_QUEUED = 64
 ROLLBACK_TIMEOUT_SECONDS = 5.0
 
-_REFUSAL_TEXTS = {
-    RefusalCode.DEADLINE: "the deadline passed in the queue",
-    RefusalCode.NO_HOME: "this instance holds no connections to the database",
-    RefusalCode.OVERLOADED: "the queue of the workspace is full",
-    RefusalCode.UNKNOWN_TRANSACTION: "the transaction is not open here",
-}
-_RETRY_CODES = frozenset({RefusalCode.NO_HOME, RefusalCode.OVERLOADED})
-
 
 @dataclass(frozen=True, slots=True)
 class _Place:
@@ -83,7 +71,7 @@
     ) -> None:
         self._authorization = Authorization(key_policy)
         self._make_policy = make_policy
-        self._configuration: Configuration = EMPTY_CONFIGURATION
+        self._plans = WorkspacePlans()
         self._queues: dict[str, DatabaseQueue] = {}
         self._waiting: dict[str, _Place] = {}
         self._transactions = TransactionTable()
@@ -132,14 +120,16 @@
         elif isinstance(message, ConfigurationChanged | ConfigurationConfirmed):
             self._authorization.handle(message, now)
             if isinstance(message, ConfigurationChanged):
-                self._change_configuration(message.configuration)
+                self._plans.update(message.configuration)
+                for queue in self._queues.values():
+                    queue.policy.set_weights(self._plans.weights)
 
     # Arrival
 
     def _accept(self, routed: RoutedRequest, now: float) -> Iterator[Emission]:
         request = routed.request
         if request.deadline <= now:
-            yield _refuse(request, RefusalCode.DEADLINE)
+            yield refuse_queued(request, RefusalCode.DEADLINE)
         elif request.action in BOUND_ACTIONS:
             yield from self._accept_bound(routed, now)
         else:
@@ -149,10 +139,12 @@
         request = routed.request
         queue = self._queues.get(routed.database)
         if queue is None or queue.n_permits == 0:
-            yield _refuse(request, RefusalCode.NO_HOME)
+            yield refuse_queued(request, RefusalCode.NO_HOME)
             return
-        if queue.policy.count(request.workspace) >= self._find_limit(request.workspace):
-            yield _refuse(request, RefusalCode.OVERLOADED)
+        if queue.policy.count(request.workspace) >= self._plans.find_limit(
+            request.workspace
+        ):
+            yield refuse_queued(request, RefusalCode.OVERLOADED)
             return
         queue.policy.push(QueuedWork(routed, now))
         self._loads.add(queue)
@@ -163,10 +155,10 @@
         request = routed.request
         transaction = self._transactions.find_usable(request)
         if transaction is None:
-            yield _refuse(request, RefusalCode.UNKNOWN_TRANSACTION)
+            yield self._refuse_bound(request)
             return
-        if len(transaction.waiting) >= self._find_limit(request.workspace):
-            yield _refuse(request, RefusalCode.OVERLOADED)
+        if len(transaction.waiting) >= self._plans.find_limit(request.workspace):
+            yield refuse_queued(request, RefusalCode.OVERLOADED)
             return
         start = transaction.start
         routed = replace(
@@ -177,11 +169,6 @@
         self._wait(request, place)
         yield from self._pump_transaction(transaction, now)
 
-    def _find_limit(self, workspace: str) -> int:
-        entry = self._configuration.workspaces.get(workspace)
-        plan = None if entry is None else self._configuration.plans.get(entry.plan)
-        return DEFAULT_N_QUEUED if plan is None else plan.n_queued
-
     def _wait(self, request: Request, place: _Place) -> None:
         self._waiting[request.request_id] = place
         heapq.heappush(self._timers, (request.deadline, request.request_id))
@@ -207,7 +194,7 @@
     def _expire(self, request_id: str) -> Iterator[Emission]:
         request = self._remove(request_id)
         if request is not None:
-            yield _refuse(request, RefusalCode.DEADLINE)
+            yield refuse_queued(request, RefusalCode.DEADLINE)
 
     def _cancel(self, request_id: str) -> None:
         if self._remove(request_id) is None and any(
@@ -227,7 +214,7 @@
                 yield refusal
                 continue
             queue.start(work.routed, now)
-            yield _dispatch(work.routed)
+            yield make_dispatch(work.routed)
 
     def _pump_transaction(
         self, transaction: OpenTransaction, now: float
@@ -239,7 +226,7 @@
                 yield refusal
                 continue
             transaction.running = work.request_id
-            yield _dispatch(work.routed)
+            yield make_dispatch(work.routed)
         if transaction.is_idle:
             transaction.idle_at = now + IDLE_SECONDS
             key = transaction.start.transaction_id
@@ -247,7 +234,7 @@
 
     def _check(self, request: Request, now: float) -> Emission | None:
         if request.deadline <= now:
-            return _refuse(request, RefusalCode.DEADLINE)
+            return refuse_queued(request, RefusalCode.DEADLINE)
         if request.action is Action.ROLLBACK:
             return None
         refusal = self._authorization.check(request, now)
@@ -313,16 +300,31 @@
         transaction.running = None
         if not transaction.is_ending:
             yield Emission("executed", execution)
-        failure = execution.failure
-        if is_end(request.action, None if failure is None else failure.code):
-            yield from self._close(transaction, now)
+        if is_end(execution):
+            yield from self._close(transaction, is_rollback(execution), now)
         else:
             yield from self._pump_transaction(transaction, now)
 
-    def _close(self, transaction: OpenTransaction, now: float) -> Iterator[Emission]:
-        for work in self._transactions.remove(transaction):
+    def _refuse_bound(self, request: Request) -> Emission:
+        """Refuse a statement whose transaction is not open.
+
+        A repeated commit may have taken effect the first time.
+        """
+        outcome = Outcome.NOT_RUN
+        if request.action is Action.COMMIT and self._transactions.may_have_committed(
+            request.transaction_id
+        ):
+            outcome = Outcome.UNKNOWN
+        return refuse_queued(request, RefusalCode.UNKNOWN_TRANSACTION, outcome)
+
+    def _close(
+        self, transaction: OpenTransaction, is_rolled_back: bool, now: float
+    ) -> Iterator[Emission]:
+        for work in self._transactions.remove(
+            transaction, is_rolled_back=is_rolled_back
+        ):
             del self._waiting[work.request_id]
-            yield _refuse(work.routed.request, RefusalCode.UNKNOWN_TRANSACTION)
+            yield self._refuse_bound(work.routed.request)
         start = transaction.start
         queue = self._queues[start.database]
         queue.n_transactions -= 1
@@ -351,27 +353,10 @@
         rollback = make_rollback(transaction.start, now + ROLLBACK_TIMEOUT_SECONDS)
         transaction.is_ending = True
         transaction.running = rollback.request.request_id
-        yield _dispatch(rollback)
+        yield make_dispatch(rollback)
 
     # Configuration
 
-    def _change_configuration(self, configuration: Configuration) -> None:
-        if configuration.version <= self._configuration.version:
-            return
-        self._configuration = configuration
-        for queue in self._queues.values():
-            self._set_weights(queue)
-
-    def _set_weights(self, queue: DatabaseQueue) -> None:
-        plans = self._configuration.plans
-        queue.policy.set_weights(
-            {
-                entry.name: plans[entry.plan].weight
-                for entry in self._configuration.workspaces.values()
-                if entry.plan in plans
-            }
-        )
-
     def _change_groups(self, message: GroupsChanged, now: float) -> Iterator[Emission]:
         permits = {
             database.name: count_home_connections(database)
@@ -381,7 +366,7 @@
         for name in permits.keys() - self._queues.keys():
             times = ServiceTimes()
             queue = DatabaseQueue(name, 0, self._make_policy(times), times)
-            self._set_weights(queue)
+            queue.policy.set_weights(self._plans.weights)
             self._queues[name] = queue
         for queue in list(self._queues.values()):
             queue.n_permits = permits.get(queue.name, 0)
@@ -396,28 +381,9 @@
             if place.database == queue.name and place.transaction_id is None:
                 request = self._remove(request_id)
                 if request is not None:
-                    yield _refuse(request, RefusalCode.NO_HOME)
+                    yield refuse_queued(request, RefusalCode.NO_HOME)
 
     def _drop_if_unused(self, queue: DatabaseQueue) -> None:
         if queue.n_permits == 0 and queue.is_empty:
             self._queues.pop(queue.name, None)
             self._loads.discard(queue)
-
-
-def _dispatch(routed: RoutedRequest) -> Emission:
-    call = make_call(routed, routed.expected_term)
-    return Emission("execution", Dispatch(routed=routed, call=call))
-
-
-def _refuse(request: Request, code: RefusalCode) -> Emission:
-    return Emission(
-        "reply",
-        Refusal(
-            request_id=request.request_id,
-            code=code,
-            outcome=Outcome.NOT_RUN,
-            step=STEP,
-            message=_REFUSAL_TEXTS[code],
-            retry_after_seconds=1.0 if code in _RETRY_CODES else None,
-        ),
-    )
