--- /dev/null
+++ b/src/sardinemill/commands.py
@@ -0,0 +1,244 @@
+"""Subcommands of the operators' command line; each makes one operation."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+
+from .documents import Order
+from .edit_commands import (
+    edit,
+    key_give,
+    key_withdraw,
+    plan_add,
+    plan_change,
+    plan_remove,
+    read_files,
+    undo,
+    workspace_add,
+    workspace_change,
+    workspace_remove,
+)
+from .fleet_operations import (
+    OrderResult,
+    order_drain,
+    order_promotion,
+    read_status,
+)
+from .operations import list_history, read_snapshot, read_version
+from .presentation import (
+    format_configuration,
+    format_faults,
+    format_history,
+    format_keys,
+    format_status,
+)
+from .session import (
+    Command,
+    ExitStatus,
+    LocalCommand,
+    Report,
+    Session,
+    wait_for_version,
+)
+from .timeline import Selection, format_html, format_text, merge_logs
+from .validation import find_faults
+
+
+def show(*, version: int | None = None) -> Command:
+    """Show the lists.
+
+    :param version: an earlier version from the history
+    """
+
+    async def run(session: Session) -> Report:
+        if version is None:
+            configuration = (await read_snapshot(session.context)).configuration
+        else:
+            configuration = await read_version(session.context, version=version)
+        data = replace(configuration, keys={})
+        return Report(text=format_configuration(configuration), data=data)
+
+    return run
+
+
+def check(
+    *,
+    plans: Path | None = None,
+    workspaces: Path | None = None,
+    groups: Path | None = None,
+) -> Command:
+    """Check lists from files against the current version; changes nothing.
+
+    :param plans: JSON file with the list of plans
+    :param workspaces: JSON file with the list of workspaces
+    :param groups: JSON file with the list of database groups
+    """
+
+    async def run(session: Session) -> Report:
+        base = (await read_snapshot(session.context)).configuration
+        files = {"plans": plans, "workspaces": workspaces, "groups": groups}
+        faults = find_faults(read_files(files).apply(base))
+        if faults:
+            text = format_faults(faults)
+            return Report(status=ExitStatus.WRONG_INPUT, text=text, data=faults)
+        return Report(text="the lists are valid\n", data=())
+
+    return run
+
+
+def key_list(*, workspace: str = "") -> Command:
+    """List the identifiers of keys.
+
+    :param workspace: only the keys of this workspace
+    """
+
+    async def run(session: Session) -> Report:
+        configuration = (await read_snapshot(session.context)).configuration
+        keys = {
+            key_id: key
+            for key_id, key in configuration.keys.items()
+            if not workspace or key.workspace == workspace
+        }
+        shown = replace(configuration, keys=keys)
+        data = {key_id: key.workspace for key_id, key in keys.items()}
+        return Report(text=format_keys(shown), data=data)
+
+    return run
+
+
+def history() -> Command:
+    """Show the last edits, newest first."""
+
+    async def run(session: Session) -> Report:
+        records = await list_history(session.context)
+        return Report(text=format_history(records), data=records)
+
+    return run
+
+
+def status() -> Command:
+    """Show the state of all instances."""
+
+    async def run(session: Session) -> Report:
+        found = await read_status(session.context, source=session.source)
+        return Report(text=format_status(found), data=found)
+
+    return run
+
+
+def wait(*, version: int | None = None, seconds: float = 30.0) -> Command:
+    """Wait until a version is in force at every live instance.
+
+    :param version: the current version by default
+    :param seconds: how long to wait
+    """
+
+    async def run(session: Session) -> Report:
+        wanted = version
+        if wanted is None:
+            wanted = (await read_snapshot(session.context)).head.version
+        return await wait_for_version(session, wanted, seconds)
+
+    return run
+
+
+def drain(instance: str) -> Command:
+    """Ask an instance to finish its work and stop.
+
+    :param instance: name of the instance
+    """
+
+    async def run(session: Session) -> Report:
+        return _report_order(await order_drain(session.context, instance=instance))
+
+    return run
+
+
+def promote(group: str) -> Command:
+    """Ask for a planned change of the primary of a group.
+
+    :param group: name of the group
+    """
+
+    async def run(session: Session) -> Report:
+        groups = (await read_snapshot(session.context)).configuration.groups
+        if group not in groups:
+            text = f"groups: {group!r}: a name from the list\n"
+            return Report(status=ExitStatus.WRONG_INPUT, text=text)
+        return _report_order(await order_promotion(session.context, group=group))
+
+    return run
+
+
+def _report_order(result: OrderResult) -> Report:
+    order: Order = result.order
+    if result.is_placed:
+        text = f"order {order.request_id} for {order.target} is placed\n"
+        return Report(text=text, data=result)
+    text = f"the store did not answer; order {order.request_id} may be placed\n"
+    return Report(status=ExitStatus.UNKNOWN, text=text, data=result)
+
+
+def timeline(
+    *files: Path,
+    request_id: str = "",
+    group: str = "",
+    version: int | None = None,
+    html: Path | None = None,
+) -> LocalCommand:
+    """Merge logs of instances into one time line.
+
+    :param files: log files
+    :param request_id: only events of this request
+    :param group: only events of this database group
+    :param version: only events of this configuration version
+    :param html: write a picture to this file
+    """
+
+    def run() -> Report:
+        selection = Selection(
+            request_id=request_id, group=group, configuration_version=version
+        )
+        try:
+            logs = [path.read_text(errors="replace").splitlines() for path in files]
+            merged = merge_logs(logs, selection)
+            if html is not None:
+                html.write_text(format_html(merged))
+        except OSError as error:
+            text = f"{error.filename}: {error.strerror}\n"
+            return Report(status=ExitStatus.WRONG_INPUT, text=text)
+        return Report(text=format_text(merged), data=merged)
+
+    return LocalCommand(run)
+
+
+_PLAN: Mapping[str, object] = {
+    "add": plan_add,
+    "change": plan_change,
+    "remove": plan_remove,
+}
+_WORKSPACE: Mapping[str, object] = {
+    "add": workspace_add,
+    "change": workspace_change,
+    "remove": workspace_remove,
+}
+_KEY: Mapping[str, object] = {
+    "give": key_give,
+    "withdraw": key_withdraw,
+    "list": key_list,
+}
+COMMANDS: Mapping[str, object] = {
+    "show": show,
+    "check": check,
+    "edit": edit,
+    "plan": _PLAN,
+    "workspace": _WORKSPACE,
+    "key": _KEY,
+    "history": history,
+    "undo": undo,
+    "status": status,
+    "wait": wait,
+    "drain": drain,
+    "promote": promote,
+    "timeline": timeline,
+}
--- a/src/sardinemill/documents.py
+++ b/src/sardinemill/documents.py
@@ -15,6 +15,8 @@
 
 HEAD_NAME = "configuration/head"
 PARTS_PREFIX = "configuration/parts/"
+DRAINS_PREFIX = "drains/"
+PROMOTIONS_PREFIX = "promotions/"
 # Values of the store's objects are limited to 1 MB.
 MAX_PART_BYTES = 1_000_000
 # A change sends each daemon the parts that it touches. At the target of 2,300 changes
@@ -94,6 +96,19 @@
     parts: Mapping[str, bytes]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """Request of an operator that instances find in the store.
+
+    :param request_id: tells a repeated request from a new one.
+    :param target: instance to drain, or group whose primary shall change.
+    """
+
+    request_id: str
+    author: str
+    target: str
+
+
 class DocumentCodec(Protocol):
     """Encoding of heads, parts and documents.
 
@@ -110,6 +125,10 @@
 
     def decode_part(self, data: bytes) -> Part: ...
 
+    def encode_order(self, order: Order) -> bytes: ...
+
+    def decode_order(self, data: bytes) -> Order: ...
+
     def encode_document(self, document: Document) -> bytes: ...
 
     def decode_document(self, data: bytes) -> Document: ...
--- /dev/null
+++ b/src/sardinemill/journal.py
@@ -0,0 +1,125 @@
+"""Writes log events as JSON lines."""
+
+import itertools
+import time
+from collections.abc import Callable, Mapping
+from typing import TextIO
+
+import structlog
+
+from .events import Event
+
+LEVELS = ("debug", "info", "warning", "error")
+# Names of fields that could carry a key or a caller's data; they are never written.
+FORBIDDEN_FIELDS = frozenset(
+    {
+        "authorization",
+        "body",
+        "caller",
+        "digest",
+        "idempotency_key",
+        "key",
+        "parameters",
+        "request",
+        "rows",
+        "secret",
+        "sql",
+        "statement",
+    }
+)
+OWN_FIELDS = frozenset(
+    {
+        "data_centre",
+        "event",
+        "incarnation",
+        "instance",
+        "level",
+        "monotonic_seconds",
+        "name",
+        "number",
+        "sequence",
+        "wall_ns",
+    }
+)
+_PLAIN_TYPES = (str, int, float, bool, type(None))
+MAX_TEXT_LENGTH = 500
+
+
+class Journal:
+    """Outlet for events; each becomes one line.
+
+    A line holds number, name and level of the event, the instance, the wall clock in
+    nanoseconds, the monotonic clock in seconds and a sequence number, which keeps the
+    order of a process when its wall clock jumps. Only plain values are written, so a
+    message that reaches a field by mistake does not reach the log.
+
+    :param file: open text file.
+    :param level: lowest level that is written.
+    :param incarnation: tells runs of the same instance apart.
+    """
+
+    def __init__(
+        self,
+        file: TextIO,
+        *,
+        instance: str,
+        data_centre: str,
+        level: str = "info",
+        incarnation: str = "",
+        read_wall_ns: Callable[[], int] = time.time_ns,
+        read_monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._threshold = LEVELS.index(level)
+        self._sequence = itertools.count(1)
+        self._read_wall_ns = read_wall_ns
+        self._read_monotonic = read_monotonic
+        self._logger = structlog.wrap_logger(
+            structlog.WriteLogger(file),
+            processors=[
+                structlog.processors.EventRenamer("name"),
+                structlog.processors.JSONRenderer(sort_keys=False),
+            ],
+            wrapper_class=structlog.BoundLogger,
+            context_class=dict,
+            instance=instance,
+            data_centre=data_centre,
+            incarnation=incarnation,
+        )
+
+    def offer(self, message: object) -> bool:
+        """Write an event; other messages are ignored."""
+        if not isinstance(message, Event):
+            return True
+        kind = message.name.value
+        if LEVELS.index(kind.level) < self._threshold:
+            return True
+        self._logger.msg(
+            message.name.name.lower(),
+            number=kind.number,
+            level=kind.level,
+            wall_ns=self._read_wall_ns(),
+            monotonic_seconds=round(self._read_monotonic(), 6),
+            sequence=next(self._sequence),
+            **_select_plain(message.fields),
+        )
+        return True
+
+
+def _select_plain(fields: Mapping[str, object]) -> dict[str, object]:
+    """Keep plain values; a field with a name of the journal's own is renamed."""
+    return {
+        f"subject_{name}" if name in OWN_FIELDS else name: _simplify(value)
+        for name, value in fields.items()
+        if name not in FORBIDDEN_FIELDS
+    }
+
+
+def _simplify(value: object) -> object:
+    """Shorten texts; a value that is not plain shows only its type."""
+    if isinstance(value, str):
+        return str(value)[:MAX_TEXT_LENGTH]
+    if isinstance(value, _PLAIN_TYPES):
+        return value
+    if isinstance(value, list | tuple):
+        return [_simplify(item) for item in value]
+    return f"<{type(value).__name__}>"
--- a/src/sardinemill/operations.py
+++ b/src/sardinemill/operations.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .changes import Change, GiveKey, ReplaceLists
 from .configuration import Configuration, Key, hash_key
@@ -54,15 +54,15 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class GivenKey:
-    """Result of giving a key.
+class KeyGift:
+    """New key and the change that puts it in force.
 
     :param key: the key in clear; it is kept nowhere else.
     """
 
-    result: EditResult
+    change: GiveKey
     key_id: str
-    key: str
+    key: str = field(repr=False)
 
 
 async def read_snapshot(context: OperationContext) -> Snapshot:
@@ -159,18 +159,17 @@
         delay = min(2 * delay, RETRY_LIMIT_SECONDS)
 
 
-async def give_key(
-    context: OperationContext, *, base: Snapshot, workspace: str, key_id: str = ""
-) -> GivenKey:
-    """Give a new key to a workspace.
+def make_key_gift(
+    context: OperationContext, *, workspace: str, key_id: str = ""
+) -> KeyGift:
+    """Make a new key for a workspace; :func:`edit` puts it in force.
 
     :param key_id: public identifier; made from the workspace's name when empty.
     """
     key = make_key()
     key_id = key_id or f"{workspace[:50]}-{context.random.make_id()[:8]}"
     change = GiveKey(Key(key_id=key_id, workspace=workspace, digest=hash_key(key)))
-    result = await edit(context, base=base, change=change)
-    return GivenKey(result=result, key_id=key_id, key=key)
+    return KeyGift(change=change, key_id=key_id, key=key)
 
 
 async def make_undo(
--- /dev/null
+++ b/src/sardinemill/presentation.py
@@ -0,0 +1,137 @@
+"""Texts that operators read: differences, faults, history and state."""
+
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+
+from .configuration import Configuration
+from .differences import Difference
+from .documents import EditRecord
+from .edits import Conflict
+from .fleet_operations import FleetStatus
+from .validation import Fault
+
+
+def format_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Lay out rows in columns."""
+    texts = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in texts) for column in range(len(header))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in texts
+    ]
+    return "\n".join(line.rstrip() for line in lines) + "\n"
+
+
+def format_difference(difference: Difference) -> str:
+    """Describe a difference and its effect on live traffic."""
+    if difference.is_empty:
+        return "nothing changes\n"
+    lines = [f"version {difference.old_version} -> {difference.new_version}"]
+    for item in difference.lists:
+        for sign, entries in (
+            ("+", item.added),
+            ("-", item.removed),
+            ("~", item.changed),
+        ):
+            lines += [f"  {sign} {item.list_name} {name}" for name in entries]
+    for rate in difference.rates:
+        lines.append(
+            f"  rate of {rate.workspace}: "
+            f"{rate.old_rate_per_second:g}/s burst {rate.old_burst:g} -> "
+            f"{rate.new_rate_per_second:g}/s burst {rate.new_burst:g}"
+        )
+    if difference.workspaces:
+        lines.append(f"  touches workspaces: {', '.join(difference.workspaces)}")
+    if difference.withdrawn_keys:
+        lines.append(f"  keys that stop: {', '.join(difference.withdrawn_keys)}")
+    if difference.losing_access:
+        names = ", ".join(difference.losing_access)
+        lines.append(f"  CALLERS LOSE ACCESS in workspaces: {names}")
+    return "\n".join(lines) + "\n"
+
+
+def format_faults(faults: Iterable[Fault]) -> str:
+    """List faults, one a line."""
+    return "".join(f"{fault}\n" for fault in faults)
+
+
+def format_conflict(conflict: Conflict) -> str:
+    """Tell who came first and what changed."""
+    winners = "".join(f"  {_format_record(record)}\n" for record in conflict.winners)
+    return (
+        f"conflict: version {conflict.seen_version} was seen, "
+        f"{conflict.current_version} is current; nothing was changed\n"
+        f"{winners}{format_difference(conflict.difference)}"
+    )
+
+
+def format_configuration(configuration: Configuration) -> str:
+    """Show both lists and the number of keys of each workspace."""
+    counts: dict[str, int] = {}
+    for key in configuration.keys.values():
+        counts[key.workspace] = counts.get(key.workspace, 0) + 1
+    plans = format_table(
+        ("plan", "rate/s", "burst", "weight", "queue"),
+        (
+            (item.name, item.rate_per_second, item.burst, item.weight, item.n_queued)
+            for _, item in sorted(configuration.plans.items())
+        ),
+    )
+    workspaces = format_table(
+        ("workspace", "plan", "group", "keys"),
+        (
+            (item.name, item.plan, item.group, counts.get(item.name, 0))
+            for _, item in sorted(configuration.workspaces.items())
+        ),
+    )
+    groups = format_table(
+        ("group", "slots", "databases"),
+        (
+            (item.name, item.n_slots, " ".join(each.name for each in item.databases))
+            for _, item in sorted(configuration.groups.items())
+        ),
+    )
+    return f"version {configuration.version}\n\n{plans}\n{workspaces}\n{groups}"
+
+
+def format_keys(configuration: Configuration) -> str:
+    """List the ids of the keys; keys themselves are not kept."""
+    keys = sorted(configuration.keys.values(), key=lambda item: item.key_id)
+    rows = ((item.key_id, item.workspace) for item in keys)
+    return format_table(("key", "workspace"), rows)
+
+
+def format_history(records: Iterable[EditRecord]) -> str:
+    """List edits, one a line."""
+    return "".join(f"{_format_record(record)}\n" for record in records)
+
+
+def format_status(status: FleetStatus) -> str:
+    """Show the state of each instance."""
+    rows: list[Sequence[object]] = [
+        (
+            item.instance,
+            item.data_centre,
+            item.state,
+            item.configuration_version,
+            _format_age(item.confirmed_age_seconds),
+            " ".join(item.groups) or "-",
+            sum(item.refusals.values()),
+        )
+        for item in sorted(status.instances, key=lambda item: item.instance)
+    ]
+    rows += [(name, "", "silent", "", "", "", "") for name in status.silent]
+    header = ("instance", "data centre", "state", "version", "age", "groups", "refused")
+    return format_table(header, rows)
+
+
+def _format_age(seconds: float | None) -> str:
+    return "never" if seconds is None else f"{seconds:.1f}s"
+
+
+def _format_record(record: EditRecord) -> str:
+    moment = datetime.fromtimestamp(record.edited_at, UTC)
+    return (
+        f"{record.version:>6}  {moment:%Y-%m-%d %H:%M:%S}Z  "
+        f"{record.author:<12}  {record.summary}"
+    )
--- /dev/null
+++ b/src/sardinemill/settings.py
@@ -0,0 +1,305 @@
+"""Settings of one instance, from flags over the environment."""
+
+import ipaddress
+import math
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import MISSING, dataclass, field, fields
+from difflib import get_close_matches
+from enum import StrEnum
+from urllib.parse import urlsplit
+
+import defopt
+
+from .errors import SettingsError
+from .validation import NAME_PATTERN, NAME_RULE
+
+ENVIRONMENT_PREFIX = "SARDINEMILL_"
+MIN_SECRET_BYTES = 32
+
+
+class KeyPolicyName(StrEnum):
+    """How keys are treated when the configuration may be old."""
+
+    STRICT = "strict"
+    AVAILABLE = "available"
+
+
+class DetectorName(StrEnum):
+    """Failure detector of primaries."""
+
+    TIMEOUT = "timeout"
+    OBSERVERS = "observers"
+    ACCRUAL = "accrual"
+
+
+class QueuePolicyName(StrEnum):
+    """Order in which queued requests get connections."""
+
+    FIFO = "fifo"
+    FAIR = "fair"
+    AGEING = "ageing"
+
+
+class LogLevel(StrEnum):
+    """Lowest level of events that are logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Settings of an instance.
+
+    :param name: unique in the fleet.
+    :param data_centre: where the instance runs.
+    :param store: URL of the platform.
+    :param fleet_secret: common to all instances; environment only.
+    :param front_host: IP address for callers.
+    :param front_port: port for callers; 0 lets the kernel choose.
+    :param peer_host: IP address for other instances.
+    :param peer_port: port for other instances; 0 lets the kernel choose.
+    :param key_policy: treatment of keys when the configuration may be old.
+    :param drain_seconds: time for which the listener stays open after SIGTERM.
+    :param log_file: path; empty means standard output.
+    :param log_level: lowest level that is logged.
+    :param detector: failure detector of primaries.
+    :param queue_policy: order of queued requests.
+    """
+
+    name: str
+    data_centre: str
+    store: str
+    fleet_secret: bytes = field(repr=False)
+    front_host: str = "127.0.0.1"
+    front_port: int = 8080
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 8081
+    key_policy: KeyPolicyName = KeyPolicyName.STRICT
+    drain_seconds: float = 10.0
+    log_file: str = ""
+    log_level: LogLevel = LogLevel.INFO
+    detector: DetectorName = DetectorName.TIMEOUT
+    queue_policy: QueuePolicyName = QueuePolicyName.FAIR
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SettingFault:
+    """One setting that is missing or malformed.
+
+    :param value: as given; never that of the secret.
+    """
+
+    name: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        found = f" (found {self.value!r})" if self.value else ""
+        return f"{self.name}: {self.reason}{found}"
+
+
+class InvalidSettings(SettingsError):
+    """All faults of the settings at once."""
+
+    def __init__(self, faults: tuple[SettingFault, ...]) -> None:
+        super().__init__("; ".join(str(fault) for fault in faults), step="settings")
+        self.faults = faults
+
+
+def _check_name(text: str) -> str:
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(NAME_RULE)
+    return text
+
+
+def _check_host(text: str) -> str:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        raise ValueError("an IP address is needed") from None
+    return text
+
+
+def _check_port(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or int(text) > 65535:
+        raise ValueError("a number from 0 to 65535 is needed")
+    return int(text)
+
+
+def _check_store(text: str) -> str:
+    try:
+        url = urlsplit(text)
+        port = url.port
+    except ValueError:
+        port, url = None, urlsplit("")
+    if url.scheme not in ("http", "https") or not url.hostname or not port:
+        raise ValueError("a URL such as http://127.0.0.1:7000 is needed")
+    return text
+
+
+def _check_seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0 <= seconds <= 3600:
+        raise ValueError("a number of seconds from 0 to 3600 is needed")
+    return seconds
+
+
+def _check_secret(text: str) -> bytes:
+    if len(text.encode()) < MIN_SECRET_BYTES:
+        raise ValueError(f"at least {MIN_SECRET_BYTES} bytes are needed")
+    return text.encode()
+
+
+def _choose_from(kind: type[StrEnum]) -> Callable[[str], StrEnum]:
+    def check(text: str) -> StrEnum:
+        if text not in list(kind):
+            raise ValueError(f"one of {', '.join(kind)} is needed")
+        return kind(text)
+
+    return check
+
+
+_CHECKS: Mapping[str, Callable[[str], object]] = {
+    "name": _check_name,
+    "data_centre": _check_name,
+    "store": _check_store,
+    "fleet_secret": _check_secret,
+    "front_host": _check_host,
+    "front_port": _check_port,
+    "peer_host": _check_host,
+    "peer_port": _check_port,
+    "key_policy": _choose_from(KeyPolicyName),
+    "drain_seconds": _check_seconds,
+    "log_file": str,
+    "log_level": _choose_from(LogLevel),
+    "detector": _choose_from(DetectorName),
+    "queue_policy": _choose_from(QueuePolicyName),
+}
+
+
+def collect_flags(
+    *,
+    name: str = "",
+    data_centre: str = "",
+    store: str = "",
+    front_host: str = "",
+    front_port: str = "",
+    peer_host: str = "",
+    peer_port: str = "",
+    key_policy: str = "",
+    drain_seconds: str = "",
+    log_file: str = "",
+    log_level: str = "",
+    detector: str = "",
+    queue_policy: str = "",
+    print_example: bool = False,
+) -> dict[str, object]:
+    """Run an instance of sardinemill.
+
+    Each flag can also be given as an environment variable, for instance
+    SARDINEMILL_FRONT_PORT. The fleet secret, SARDINEMILL_FLEET_SECRET, is read from the
+    environment only.
+
+    :param name: name of the instance, unique in the fleet
+    :param data_centre: data centre in which it runs
+    :param store: URL of the platform's store
+    :param front_host: IP address for callers
+    :param front_port: port for callers
+    :param peer_host: IP address for other instances
+    :param peer_port: port for other instances
+    :param key_policy: strict or available
+    :param drain_seconds: how long the listener stays open after SIGTERM
+    :param log_file: path of the log; standard output by default
+    :param log_level: debug, info, warning or error
+    :param detector: timeout, observers or accrual
+    :param queue_policy: fifo, fair or ageing
+    :param print_example: print an example environment and exit
+    """
+    return dict(locals())
+
+
+def read_settings(argv: Sequence[str], environment: Mapping[str, str]) -> Settings:
+    """Read the settings of an instance.
+
+    :param argv: flags without the program's name.
+    :raises InvalidSettings: with all faults; the caller exits with status 2.
+    :raises SystemExit: for unknown flags (2), ``--help`` and ``--print-example`` (0).
+    """
+    flags = defopt.run(collect_flags, argv=list(argv), cli_options="all")
+    if flags.pop("print_example"):
+        print(format_example(), end="")
+        raise SystemExit(0)
+    values: dict[str, object] = {}
+    faults = []
+    for item in fields(Settings):
+        variable = ENVIRONMENT_PREFIX + item.name.upper()
+        text = str(flags.get(item.name) or environment.get(variable, ""))
+        if not text:
+            if item.default is MISSING:
+                faults.append(_make_fault(item.name, "", "a value is needed"))
+            continue
+        try:
+            values[item.name] = _CHECKS[item.name](text)
+        except ValueError as error:
+            faults.append(_make_fault(item.name, text, str(error)))
+    known = {ENVIRONMENT_PREFIX + item.name.upper() for item in fields(Settings)}
+    faults.extend(_find_unknown(environment, known))
+    if faults:
+        raise InvalidSettings(tuple(faults))
+    return Settings(**values)  # type: ignore[arg-type]
+
+
+def _make_fault(name: str, text: str, reason: str) -> SettingFault:
+    variable = ENVIRONMENT_PREFIX + name.upper()
+    if name == "fleet_secret":
+        return SettingFault(name=variable, value="", reason=reason)
+    label = f"--{name.replace('_', '-')} or {variable}"
+    return SettingFault(name=label, value=text, reason=reason)
+
+
+def _find_unknown(
+    environment: Mapping[str, str], known: set[str]
+) -> list[SettingFault]:
+    """Report variables that look like misspelled settings.
+
+    Variables of other programs of the package share the prefix and are left alone.
+    """
+    faults = []
+    for name in sorted(set(environment) - known):
+        close = get_close_matches(name, known, n=1, cutoff=0.9)
+        if name.startswith(ENVIRONMENT_PREFIX) and close:
+            reason = f"no setting has this name; {close[0]} is one"
+            faults.append(SettingFault(name=name, value="", reason=reason))
+    return faults
+
+
+def format_example() -> str:
+    """Environment file with every setting and its default."""
+    examples = {
+        "name": "almaty-1a",
+        "data_centre": "almaty-1",
+        "store": "http://127.0.0.1:7000",
+        "fleet_secret": "<at least 32 random bytes, the same on every instance>",
+    }
+    lines = []
+    for item in fields(Settings):
+        value = examples.get(item.name, item.default)
+        lines.append(f"{ENVIRONMENT_PREFIX}{item.name.upper()}={value}")
+    return "\n".join(lines) + "\n"
+
+
+def report_faults(error: InvalidSettings) -> int:
+    """Print all faults to standard error.
+
+    :returns: the exit status, 2.
+    """
+    for fault in error.faults:
+        print(fault, file=sys.stderr)
+    return 2
--- /dev/null
+++ b/src/sardinemill/telemetry.py
@@ -0,0 +1,171 @@
+"""Metrics of an instance, behind a small protocol."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from opentelemetry.metrics import Meter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader, MetricReader
+from opentelemetry.sdk.resources import Resource
+
+# A label with more values than this shows the rest as "other", so that names from
+# outside cannot fill the memory of the collector.
+MAX_LABEL_VALUES = 200
+# The default boundaries suit milliseconds; requests take 1 ms to 10 s.
+SECONDS_BOUNDARIES = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
+
+
+@dataclass(frozen=True, slots=True)
+class MetricKind:
+    """Description of a metric.
+
+    :param instrument: ``counter``, ``histogram`` or ``gauge``.
+    :param unit: in the notation of UCUM, as OpenTelemetry asks.
+    :param labels: the only labels that the metric takes.
+    """
+
+    instrument: str
+    unit: str
+    description: str
+    labels: tuple[str, ...] = ()
+
+
+class Metric(Enum):
+    """All metrics; the name on the wire is ``sardinemill.`` and the lower-case name."""
+
+    REQUESTS = MetricKind("counter", "{request}", "Answered requests.", ("kind",))
+    REFUSALS = MetricKind(
+        "counter", "{request}", "Refused requests.", ("code", "outcome")
+    )
+    REPLICA_READS = MetricKind("counter", "{request}", "Reads served by a replica.")
+    REQUEST_SECONDS = MetricKind(
+        "histogram", "s", "Time from receipt to reply.", ("kind",)
+    )
+    QUEUE_SECONDS = MetricKind(
+        "histogram", "s", "Time in the queue of a database.", ("workspace",)
+    )
+    QUEUED = MetricKind("gauge", "{request}", "Requests in queues.", ("group",))
+    FAILOVER_SECONDS = MetricKind(
+        "histogram", "s", "Time without a primary.", ("group",)
+    )
+    CONFIGURATION_VERSION = MetricKind("gauge", "1", "Configuration in force.")
+    CONFIRMED_AGE_SECONDS = MetricKind(
+        "gauge", "s", "Age of the configuration's confirmation."
+    )
+    STORE_CALLS = MetricKind(
+        "counter", "{call}", "Calls to the store.", ("operation", "outcome")
+    )
+    PEER_BYTES = MetricKind("counter", "By", "Bytes to other instances.", ("type",))
+
+
+class Telemetry(Protocol):
+    """Takes measurements."""
+
+    def record(
+        self, metric: Metric, value: float, labels: Mapping[str, str] | None = None
+    ) -> None:
+        """Add to a counter, note a value for a histogram, or set a gauge.
+
+        :param labels: only those that the metric names; others are dropped.
+        """
+        ...
+
+
+class NoTelemetry:
+    """Drops all measurements."""
+
+    def record(
+        self, metric: Metric, value: float, labels: Mapping[str, str] | None = None
+    ) -> None:
+        return
+
+
+class OpenTelemetryMetrics:
+    """Measurements through the OpenTelemetry SDK.
+
+    :param readers: exporters of the metrics.
+    """
+
+    def __init__(
+        self, readers: Sequence[MetricReader], *, instance: str, data_centre: str
+    ) -> None:
+        resource = Resource.create(
+            {
+                "service.name": "sardinemill",
+                "service.instance.id": instance,
+                "cloud.availability_zone": data_centre,
+            }
+        )
+        self._provider = MeterProvider(
+            metric_readers=readers, resource=resource, shutdown_on_exit=False
+        )
+        meter = self._provider.get_meter("sardinemill")
+        self._record = {metric: _make_instrument(meter, metric) for metric in Metric}
+        self._seen: dict[tuple[Metric, str], set[str]] = {}
+
+    def record(
+        self, metric: Metric, value: float, labels: Mapping[str, str] | None = None
+    ) -> None:
+        chosen = {
+            name: self._bound_label(metric, name, (labels or {})[name])
+            for name in metric.value.labels
+            if name in (labels or {})
+        }
+        self._record[metric](value, chosen)
+
+    def shutdown(self) -> None:
+        """Flush and close the readers."""
+        self._provider.shutdown()
+
+    def _bound_label(self, metric: Metric, name: str, value: str) -> str:
+        seen = self._seen.setdefault((metric, name), set())
+        if value not in seen:
+            if len(seen) >= MAX_LABEL_VALUES:
+                return "other"
+            seen.add(value)
+        return value
+
+
+class _Recorder(Protocol):
+    """Method of an instrument that takes one measurement."""
+
+    def __call__(self, amount: float, attributes: Mapping[str, str], /) -> None: ...
+
+
+def _make_instrument(meter: Meter, metric: Metric) -> _Recorder:
+    kind = metric.value
+    name = f"sardinemill.{metric.name.lower()}"
+    if kind.instrument == "counter":
+        return meter.create_counter(name, kind.unit, kind.description).add
+    if kind.instrument == "histogram":
+        return meter.create_histogram(
+            name,
+            kind.unit,
+            kind.description,
+            explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
+        ).record
+    return meter.create_gauge(name, kind.unit, kind.description).set
+
+
+def read_metrics(
+    reader: InMemoryMetricReader,
+) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
+    """Read what an in-memory reader collected, for tests and demonstrations.
+
+    :returns: metric name and sorted labels to value; the sum for a histogram.
+    """
+    values: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
+    data = reader.get_metrics_data()
+    for resource in data.resource_metrics if data else ():
+        for scope in resource.scope_metrics:
+            for metric in scope.metrics:
+                for point in metric.data.data_points:
+                    labels = tuple(
+                        sorted((k, str(v)) for k, v in (point.attributes or {}).items())
+                    )
+                    value = getattr(point, "value", None)
+                    total = point.sum if value is None else value  # type: ignore
+                    values[metric.name, labels] = float(total)
+    return values
--- /dev/null
+++ b/src/sardinemill/timeline.py
@@ -0,0 +1,210 @@
+"""Merges the logs of all processes into one ordered time line."""
+
+import heapq
+import html
+import json
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+ROW_HEIGHT = 18
+LANE_WIDTH = 150
+TIME_WIDTH = 130
+LEVEL_COLOURS = {
+    "debug": "#999999",
+    "info": "#2b6cb0",
+    "warning": "#b7791f",
+    "error": "#c53030",
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """One line of a log.
+
+    :param process: instance and incarnation.
+    :param sequence: position in the process.
+    :param ordered_ns: wall clock, raised to that of the line before it in the same
+        process if the clock jumped back.
+    """
+
+    process: str
+    sequence: int
+    wall_ns: int
+    ordered_ns: int
+    number: int
+    name: str
+    level: str
+    fields: Mapping[str, object] = field(default_factory=dict)
+
+    @property
+    def time(self) -> str:
+        """Wall clock as text, UTC."""
+        moment = datetime.fromtimestamp(self.wall_ns // 10**9, UTC)
+        return f"{moment:%H:%M:%S}.{self.wall_ns % 10**9 // 1000:06d}"
+
+    def format_fields(self) -> str:
+        """Fields as ``name=value``."""
+        return " ".join(f"{name}={value}" for name, value in self.fields.items())
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Selection:
+    """Which entries to show; empty values select all."""
+
+    request_id: str = ""
+    group: str = ""
+    configuration_version: int | None = None
+
+    def matches(self, entry: Entry) -> bool:
+        """Tell whether an entry is selected."""
+        wanted: dict[str, object] = {}
+        if self.request_id:
+            wanted["request_id"] = self.request_id
+        if self.group:
+            wanted["group"] = self.group
+        if self.configuration_version is not None:
+            wanted["configuration_version"] = self.configuration_version
+        return all(entry.fields.get(name) == value for name, value in wanted.items())
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Timeline:
+    """Entries of all processes in one order.
+
+    :param n_unreadable: lines that are not log lines, such as a truncated last one.
+    """
+
+    entries: tuple[Entry, ...]
+    n_unreadable: int = 0
+
+
+_OWN_NAMES = frozenset(
+    {"instance", "incarnation", "sequence", "wall_ns", "number", "name", "level"}
+)
+_HIDDEN_NAMES = _OWN_NAMES | {"data_centre", "monotonic_seconds"}
+
+
+def merge_logs(
+    logs: Iterable[Iterable[str]], selection: Selection | None = None
+) -> Timeline:
+    """Merge log files.
+
+    Entries are ordered by wall clock. The order of each process is kept even when its
+    clock jumps back: a line never comes before an earlier line of its process.
+
+    :param logs: lines of each file; a file may hold several processes.
+    """
+    selection = selection or Selection()
+    by_process: dict[str, list[Entry]] = {}
+    n_unreadable = 0
+    for lines in logs:
+        for line in lines:
+            if not line.strip():
+                continue
+            entry = _read_line(line)
+            if entry is None:
+                n_unreadable += 1
+            else:
+                by_process.setdefault(entry.process, []).append(entry)
+    streams = [_order_process(entries) for entries in by_process.values()]
+    merged = heapq.merge(
+        *streams, key=lambda entry: (entry.ordered_ns, entry.process, entry.sequence)
+    )
+    chosen = tuple(entry for entry in merged if selection.matches(entry))
+    return Timeline(entries=chosen, n_unreadable=n_unreadable)
+
+
+def _read_line(line: str) -> Entry | None:
+    try:
+        values = json.loads(line)
+        incarnation = values["incarnation"]
+        instance = str(values["instance"])
+        return Entry(
+            process=f"{instance} {incarnation[:6]}" if incarnation else instance,
+            sequence=int(values["sequence"]),
+            wall_ns=int(values["wall_ns"]),
+            ordered_ns=int(values["wall_ns"]),
+            number=int(values["number"]),
+            name=str(values["name"]),
+            level=str(values["level"]),
+            fields={
+                name: value
+                for name, value in values.items()
+                if name not in _HIDDEN_NAMES
+            },
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _order_process(entries: Sequence[Entry]) -> list[Entry]:
+    ordered: list[Entry] = []
+    latest = 0
+    for entry in sorted(entries, key=lambda item: item.sequence):
+        latest = max(latest, entry.wall_ns)
+        ordered.append(
+            Entry(
+                process=entry.process,
+                sequence=entry.sequence,
+                wall_ns=entry.wall_ns,
+                ordered_ns=latest,
+                number=entry.number,
+                name=entry.name,
+                level=entry.level,
+                fields=entry.fields,
+            )
+        )
+    return ordered
+
+
+def format_text(timeline: Timeline) -> str:
+    """Time line as lines of text."""
+    lines = [
+        f"{entry.time}  {entry.process:<20}  {entry.number} {entry.name}"
+        f"  {entry.format_fields()}".rstrip()
+        for entry in timeline.entries
+    ]
+    if timeline.n_unreadable:
+        lines.append(f"({timeline.n_unreadable} unreadable lines left out)")
+    return "\n".join(lines) + "\n" if lines else ""
+
+
+def format_html(timeline: Timeline) -> str:
+    """Time line as a page with one column for each process and no external parts."""
+    processes = sorted({entry.process for entry in timeline.entries})
+    lanes = {process: number for number, process in enumerate(processes)}
+    width = TIME_WIDTH + LANE_WIDTH * len(processes)
+    height = ROW_HEIGHT * (len(timeline.entries) + 2)
+    body = "\n".join((*_draw_lanes(lanes, height), *_draw_entries(timeline, lanes)))
+    return (
+        '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8">'
+        "<title>sardinemill time line</title><style>"
+        "text{font:11px sans-serif}line{stroke:#ddd}</style></head><body>\n"
+        f"<p>{len(timeline.entries)} events, {len(processes)} processes, "
+        f"{timeline.n_unreadable} unreadable lines. Point at an event for its "
+        "fields.</p>\n"
+        f'<svg width="{width}" height="{height}" role="img" '
+        f'aria-label="Time line of events">\n{body}\n</svg>\n</body></html>\n'
+    )
+
+
+def _draw_lanes(lanes: Mapping[str, int], height: int) -> Iterator[str]:
+    for process, number in lanes.items():
+        left = TIME_WIDTH + LANE_WIDTH * number
+        yield f'<line x1="{left}" y1="0" x2="{left}" y2="{height}"/>'
+        yield f'<text x="{left + 4}" y="12">{html.escape(process)}</text>'
+
+
+def _draw_entries(timeline: Timeline, lanes: Mapping[str, int]) -> Iterator[str]:
+    for row, entry in enumerate(timeline.entries, start=2):
+        left = TIME_WIDTH + LANE_WIDTH * lanes[entry.process]
+        bottom = ROW_HEIGHT * row
+        colour = LEVEL_COLOURS.get(entry.level, "#000000")
+        label = html.escape(f"{entry.number} {entry.name}")
+        title = html.escape(f"{entry.time} {entry.process} {entry.format_fields()}")
+        yield f'<text x="4" y="{bottom}">{entry.time}</text>'
+        yield (
+            f'<g><title>{title}</title><circle cx="{left}" cy="{bottom - 4}" r="4" '
+            f'fill="{colour}"/><text x="{left + 8}" y="{bottom}">{label}</text></g>'
+        )
