--- a/src/sardinemill/adapters/status.py
+++ b/src/sardinemill/adapters/status.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ..control import InstanceInfo
-from ..fleet_operations import InstanceStatus
+from ..status import Status
 
 STATUS_TIMEOUT_SECONDS = 1.0
 
@@ -26,7 +26,7 @@
             await self._session.close()
             self._session = None
 
-    async def fetch(self, instance: InstanceInfo) -> InstanceStatus | None:
+    async def fetch(self, instance: InstanceInfo) -> Status | None:
         """Return the state of an instance, or ``None`` when it does not answer."""
         if self._session is None:
             return None
@@ -36,6 +36,6 @@
                 if response.status != 200:
                     return None
                 data = await response.read()
-            return msgspec.json.decode(data, type=InstanceStatus)
+            return msgspec.json.decode(data, type=Status)
         except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError):
             return None
--- a/src/sardinemill/cli.py
+++ b/src/sardinemill/cli.py
@@ -3,11 +3,10 @@
 import argparse
 import asyncio
 import getpass
-import importlib
 import os
 import sys
 from collections.abc import Mapping, Sequence
-from typing import Protocol, TextIO, cast
+from typing import Protocol, TextIO
 
 import defopt
 import msgspec
@@ -15,6 +14,7 @@
 from .adapters.clocks import SystemClock, SystemRandom
 from .adapters.documents import MessagePackDocuments
 from .adapters.status import HttpStatusSource
+from .adapters.store import HttpStore
 from .commands import COMMANDS
 from .edits import Invalid
 from .errors import SardinemillError, StoreError
@@ -121,8 +121,7 @@
     """:raises ValueError: when no store is given."""
     if not url:
         raise ValueError("--store or SARDINEMILL_STORE: the platform's URL is needed")
-    module = importlib.import_module("sardinemill.adapters.store")
-    return cast(StoreClient, module.HttpStore(url))
+    return HttpStore(url)
 
 
 async def _serve(
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -133,6 +133,21 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrimaryOpinion:
+    """What one home of a group thinks of the group's primary.
+
+    :param is_suspected: whether the observer itself hears nothing from the database.
+    :param wants_answer: asks the receiver for its own opinion.
+    """
+
+    group: str
+    database: str
+    observer: str
+    is_suspected: bool
+    wants_answer: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupsChanged:
     """Groups whose home this instance is, with the instances ranked as homes.
@@ -164,6 +179,7 @@
 
     :param sequence: counts up from 1 in one process.
     :param configuration_version: version in force at the sender.
+    :param info: the sender itself, for receivers whose list does not hold it yet.
     """
 
     source: str
@@ -171,6 +187,7 @@
     sequence: int
     state: InstanceState
     configuration_version: int
+    info: InstanceInfo | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,10 +196,13 @@
 
     :param live: take new work.
     :param leaving: finish work, take none.
+    :param candidates: all instances that the peer link keeps a connection to, also
+        the suspected ones, so that they are heard when they come back.
     """
 
     live: tuple[InstanceInfo, ...]
     leaving: tuple[InstanceInfo, ...]
+    candidates: tuple[InstanceInfo, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -228,12 +248,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BorrowRequest:
-    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``."""
+    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
+
+    :param returns: loans of this owner that ended early, spent or not.
+    """
 
     borrow_id: str
     borrower: str
     workspace: str
     n_tokens: float
+    returns: "tuple[LoanReturn, ...]" = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -258,7 +282,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoanReturn:
-    """Unspent tokens of a loan that has not ended yet."""
+    """Unspent tokens of a loan that has not ended yet; 0 when all were spent."""
 
     borrow_id: str
     borrower: str
@@ -274,6 +298,8 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`
+        once its loans have ended.
     """
 
     shard: int
@@ -281,14 +307,65 @@
     epoch: int
     valid_until: float
     taken_at: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardClosed:
+    """No loan of the shard is open, so its lease may be released."""
+
+    shard: int
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeatLease:
-    """Seat of this instance; ``None`` as seat means that it holds none."""
+    """Seat of this instance; ``None`` as seat means that it holds none.
+
+    :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
+        answers once no pledge of it is open.
+    """
 
     seat: int | None
     valid_until: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeatClosed:
+    """The reserve of the seat is neither used nor pledged; it may be released."""
+
+    seat: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveQuery:
+    """A shard's owner asks instances to pledge their reserves to it.
+
+    :param asked_at: seconds on the owner's clock, echoed by the answer.
+    :param term_seconds: how long the reserves shall stay unused, from receipt.
+    """
+
+    shard: int
+    epoch: int
+    asked_at: float
+    term_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservePledge:
+    """Promise not to use the reserve of a seat for the workspaces of a shard.
+
+    :param term_seconds: counted by the instance from receipt of the question; the
+        owner counts it from when it asked.
+    """
+
+    shard: int
+    epoch: int
+    instance: str
+    seat: int
+    asked_at: float
+    term_seconds: float
 
 
 # Configuration
@@ -353,6 +430,13 @@
     """This instance was asked to stop; it takes no new work from now on."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainFinished:
+    """A step has no work left after :class:`DrainStarted`; may be repeated."""
+
+    step: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceList:
     """Platform's list of instances, passed on inside a data centre."""
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -24,7 +24,8 @@
 
 class EventName(Enum):
     """All events, by hundreds: 1 life cycle, 2 requests, 3 databases and failover,
-    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store.
+    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store,
+    8 stand-ins.
     """
 
     # 1xx life cycle
@@ -34,6 +35,39 @@
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 2xx requests: placement, scheduling and transactions
+    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
+    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
+    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
+
+    # 3xx databases and failover
+    PRIMARY_SUSPECTED = EventKind(
+        301, "warning", "Detect: a group's primary is suspected, or there is none."
+    )
+    FENCE_STARTED = EventKind(302, "warning", "Fence: all databases get a new term.")
+    FENCE_COMPLETED = EventKind(303, "info", "Fence: a majority of slots is fenced.")
+    PRIMARY_CHOSEN = EventKind(
+        304, "info", "Choose: the database with the highest position is promoted."
+    )
+    PRIMARY_PROMOTED = EventKind(305, "warning", "Promote: the database is primary.")
+    PRIMARY_LEARNED = EventKind(306, "info", "Learn: a primary of a higher term.")
+    FAILOVER_ABANDONED = EventKind(
+        307, "warning", "An attempt at failover ended without a new primary."
+    )
+
+    # 4xx rate limits
+    SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
+    SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
+    SHARD_RELEASED = EventKind(403, "info", "The instance gave a shard away.")
+    SEAT_TAKEN = EventKind(404, "info", "The instance holds a seat with a reserve.")
+    SEAT_LOST = EventKind(405, "warning", "The seat's lease ended unplanned.")
+    SEAT_RELEASED = EventKind(406, "info", "The instance gave its seat back.")
+    LEASE_RECORD_INVALID = EventKind(407, "error", "A lease object is not readable.")
+    OWNER_UNREACHABLE = EventKind(
+        408, "warning", "Requests were refused because no shard owner answered."
+    )
+
     # 5xx configuration and keys
     CONFIGURATION_ADOPTED = EventKind(
         501, "info", "A higher configuration version is in force at this instance."
@@ -63,6 +97,27 @@
         509, "warning", "The configuration has not been confirmed within the limit."
     )
 
+    # 6xx membership and peers
+    INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
+    INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
+    INSTANCE_LIST_FAILED = EventKind(
+        603, "warning", "The platform's list of instances could not be read."
+    )
+    PEER_MESSAGE_DROPPED = EventKind(
+        604, "warning", "A peer message was malformed, foreign or met a full queue."
+    )
+    PEER_LINK_REPLACED = EventKind(
+        605, "info", "The socket to a silent peer was replaced."
+    )
+
+    # 8xx stand-ins
+    STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
+    STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
+    FAULTS_CHANGED = EventKind(803, "info", "The faults of a stand-in were changed.")
+    DATABASE_ROLE_CHANGED = EventKind(
+        804, "info", "A database stand-in changed its role or term."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
--- a/src/sardinemill/fleet_operations.py
+++ b/src/sardinemill/fleet_operations.py
@@ -1,41 +1,24 @@
 """Operations on the running instances: state, waiting, drain and promotion."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from .control import InstanceInfo, InstanceState
 from .documents import DRAINS_PREFIX, PROMOTIONS_PREFIX, Order
 from .errors import StoreConflict, StoreUnavailable
 from .operations import OperationContext
+from .status import Status
 
 POLL_SECONDS = 0.25
 N_ORDER_ATTEMPTS = 4
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InstanceStatus:
-    """What an instance says about itself.
-
-    :param confirmed_age_seconds: age of the confirmation of its configuration.
-    :param groups: groups whose home it is.
-    :param refusals: number of refused requests by code.
-    """
-
-    instance: str
-    data_centre: str
-    state: str
-    configuration_version: int
-    confirmed_age_seconds: float | None = None
-    groups: tuple[str, ...] = ()
-    refusals: Mapping[str, int] = field(default_factory=dict)
-
-
 class StatusSource(Protocol):
     """Asks instances for their state."""
 
-    async def fetch(self, instance: InstanceInfo) -> InstanceStatus | None:
+    async def fetch(self, instance: InstanceInfo) -> Status | None:
         """Return the state, or ``None`` when the instance does not answer."""
         ...
 
@@ -47,7 +30,7 @@
     :param silent: instances that are listed and do not answer.
     """
 
-    instances: tuple[InstanceStatus, ...]
+    instances: tuple[Status, ...]
     silent: tuple[str, ...]
 
     def list_behind(self, version: int) -> tuple[str, ...]:
--- a/src/sardinemill/journal.py
+++ b/src/sardinemill/journal.py
@@ -1,13 +1,16 @@
 """Writes log events as JSON lines."""
 
 import itertools
+import sys
 import time
+import uuid
 from collections.abc import Callable, Mapping
 from typing import TextIO
 
 import structlog
 
 from .events import Event
+from .settings import Settings
 
 LEVELS = ("debug", "info", "warning", "error")
 # Names of fields that could carry a key or a caller's data; they are never written.
@@ -105,6 +108,24 @@
         return True
 
 
+def open_journal(settings: Settings) -> Journal:
+    """Make the journal of an instance.
+
+    :raises OSError: when the log file cannot be opened.
+    """
+    file: TextIO = sys.stdout
+    if settings.log_file:
+        # Line buffering, so that a crash loses no finished line.
+        file = open(settings.log_file, "a", buffering=1, encoding="utf-8")  # noqa: SIM115
+    return Journal(
+        file,
+        instance=settings.name,
+        data_centre=settings.data_centre,
+        level=settings.log_level,
+        incarnation=uuid.uuid4().hex,
+    )
+
+
 def _select_plain(fields: Mapping[str, object]) -> dict[str, object]:
     """Keep plain values; a field with a name of the journal's own is renamed."""
     return {
--- a/src/sardinemill/presentation.py
+++ b/src/sardinemill/presentation.py
@@ -115,7 +115,7 @@
             item.state,
             item.configuration_version,
             _format_age(item.confirmed_age_seconds),
-            " ".join(item.groups) or "-",
+            " ".join(group.group for group in item.groups) or "-",
             sum(item.refusals.values()),
         )
         for item in sorted(status.instances, key=lambda item: item.instance)
--- a/src/sardinemill/settings.py
+++ b/src/sardinemill/settings.py
@@ -2,9 +2,8 @@
 
 import ipaddress
 import math
-import sys
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import MISSING, dataclass, field, fields
+from dataclasses import dataclass, field, fields
 from difflib import get_close_matches
 from enum import StrEnum
 from urllib.parse import urlsplit
@@ -16,6 +15,7 @@
 
 ENVIRONMENT_PREFIX = "SARDINEMILL_"
 MIN_SECRET_BYTES = 32
+REQUIRED = frozenset({"name", "data_centre", "store_url", "fleet_secret"})
 
 
 class KeyPolicyName(StrEnum):
@@ -56,7 +56,7 @@
 
     :param name: unique in the fleet.
     :param data_centre: where the instance runs.
-    :param store: URL of the platform.
+    :param store_url: URL of the platform.
     :param fleet_secret: common to all instances; environment only.
     :param front_host: IP address for callers.
     :param front_port: port for callers; 0 lets the kernel choose.
@@ -72,17 +72,17 @@
 
     name: str
     data_centre: str
-    store: str
+    store_url: str = ""
     fleet_secret: bytes = field(repr=False)
     front_host: str = "127.0.0.1"
     front_port: int = 8080
     peer_host: str = "127.0.0.1"
-    peer_port: int = 8081
+    peer_port: int = 8090
     key_policy: KeyPolicyName = KeyPolicyName.STRICT
-    drain_seconds: float = 10.0
+    drain_seconds: float = 5.0
     log_file: str = ""
     log_level: LogLevel = LogLevel.INFO
-    detector: DetectorName = DetectorName.TIMEOUT
+    detector: DetectorName = DetectorName.OBSERVERS
     queue_policy: QueuePolicyName = QueuePolicyName.FAIR
 
 
@@ -103,10 +103,10 @@
 
 
 class InvalidSettings(SettingsError):
-    """All faults of the settings at once."""
+    """All faults of the settings at once, one a line in the message."""
 
     def __init__(self, faults: tuple[SettingFault, ...]) -> None:
-        super().__init__("; ".join(str(fault) for fault in faults), step="settings")
+        super().__init__("\n".join(str(fault) for fault in faults), step="settings")
         self.faults = faults
 
 
@@ -169,7 +169,7 @@
 _CHECKS: Mapping[str, Callable[[str], object]] = {
     "name": _check_name,
     "data_centre": _check_name,
-    "store": _check_store,
+    "store_url": _check_store,
     "fleet_secret": _check_secret,
     "front_host": _check_host,
     "front_port": _check_port,
@@ -188,7 +188,7 @@
     *,
     name: str = "",
     data_centre: str = "",
-    store: str = "",
+    store_url: str = "",
     front_host: str = "",
     front_port: str = "",
     peer_host: str = "",
@@ -209,7 +209,7 @@
 
     :param name: name of the instance, unique in the fleet
     :param data_centre: data centre in which it runs
-    :param store: URL of the platform's store
+    :param store_url: URL of the platform's store
     :param front_host: IP address for callers
     :param front_port: port for callers
     :param peer_host: IP address for other instances
@@ -242,7 +242,7 @@
         variable = ENVIRONMENT_PREFIX + item.name.upper()
         text = str(flags.get(item.name) or environment.get(variable, ""))
         if not text:
-            if item.default is MISSING:
+            if item.name in REQUIRED:
                 faults.append(_make_fault(item.name, "", "a value is needed"))
             continue
         try:
@@ -285,7 +285,7 @@
     examples = {
         "name": "almaty-1a",
         "data_centre": "almaty-1",
-        "store": "http://127.0.0.1:7000",
+        "store_url": "http://127.0.0.1:7000",
         "fleet_secret": "<at least 32 random bytes, the same on every instance>",
     }
     lines = []
@@ -293,13 +293,3 @@
         value = examples.get(item.name, item.default)
         lines.append(f"{ENVIRONMENT_PREFIX}{item.name.upper()}={value}")
     return "\n".join(lines) + "\n"
-
-
-def report_faults(error: InvalidSettings) -> int:
-    """Print all faults to standard error.
-
-    :returns: the exit status, 2.
-    """
-    for fault in error.faults:
-        print(fault, file=sys.stderr)
-    return 2
