Keep timers of inboxes and yield only when a stage has more to do

Cause: each message through a stage made a timer and gave up the processor once more. Kept, since it removes work; the rest of the cost is elsewhere and is looked for next.

--- a/src/sardinemill/pipeline.py
+++ b/src/sardinemill/pipeline.py
@@ -34,6 +34,7 @@
         self._capacity = capacity
         self._messages: deque[object] = deque()
         self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         return len(self._messages)
@@ -54,20 +55,32 @@
         return self._messages.popleft() if self._messages else None
 
     async def wait(self, timeout_seconds: float | None) -> None:
-        """Return once there is a message or the time is up."""
+        """Return once there is a message or the time is up.
+
+        It may return early without a message: a timer that is due before the time
+        asked for is kept, which saves a new timer for each message.
+        """
         if self._messages or (timeout_seconds is not None and timeout_seconds <= 0):
             return
         loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
-        timer = None
         if timeout_seconds is not None:
-            timer = loop.call_later(timeout_seconds, self._wake)
+            self._set_timer(loop, loop.time() + timeout_seconds)
+        self._waiter = loop.create_future()
         try:
             await self._waiter
         finally:
             self._waiter = None
-            if timer is not None:
-                timer.cancel()
+
+    def _set_timer(self, loop: asyncio.AbstractEventLoop, due: float) -> None:
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._end_timer)
+
+    def _end_timer(self) -> None:
+        self._timer = None
+        self._wake()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -137,8 +150,9 @@
             timeout = None if next_tick is None else next_tick - self._clock.now()
             await self.inbox.wait(timeout)
             self._serve_batch()
-            # Yields to other tasks even when messages keep arriving.
-            await asyncio.sleep(0)
+            if len(self.inbox) or (timeout is not None and timeout <= 0):
+                # Yields to other tasks even when there is always something to do.
+                await asyncio.sleep(0)
 
     def _serve_batch(self) -> None:
         for _ in range(BATCH_SIZE):
