--- a/src/sardinemill/filters/database_queue.py
+++ b/src/sardinemill/filters/database_queue.py
@@ -1,14 +1,19 @@
 """Queue and connection permits of one database at this home."""
 
+from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from ..control import DatabaseLoad
-from ..messages import Execution, RoutedRequest
+from ..messages import Action, Execution, RoutedRequest
 from .queueing import QueuedWork, QueuePolicy, ServiceTimes
 
 # Routing needs the order of magnitude of a queue, not each change.
 LOAD_INTERVAL_SECONDS = 0.01
+# A transaction keeps its connection while its caller thinks. Without these limits one
+# workspace, or all together, could leave no connection for statements.
+WORKSPACE_TRANSACTION_SHARE = 0.5
+TRANSACTION_SHARE = 0.75
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,36 +45,88 @@
         self.name = name
         self.n_permits = n_permits
         self.policy = policy
-        self.n_transactions = 0
         self._times = times
         self._running: dict[str, RunningWork] = {}
+        self._n_open = 0
+        # Open and beginning transactions by workspace.
+        self._transactions: Counter[str] = Counter()
+        # Begins that wait for the end of another transaction, by workspace.
+        self._deferred: dict[str, OrderedDict[str, QueuedWork]] = {}
 
     @property
     def n_used(self) -> int:
         """Permits in use."""
-        return len(self._running) + self.n_transactions
+        return len(self._running) + self._n_open
+
+    @property
+    def n_waiting(self) -> int:
+        """Requests that wait for a permit."""
+        return len(self.policy) + sum(map(len, self._deferred.values()))
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing waits or holds a permit."""
-        return self.n_used == 0 and len(self.policy) == 0
+        return self.n_used == 0 and self.n_waiting == 0
+
+    def count(self, workspace: str) -> int:
+        """Number of waiting requests of a workspace."""
+        return self.policy.count(workspace) + len(self._deferred.get(workspace, ()))
+
+    def remove(self, workspace: str, request_id: str) -> QueuedWork | None:
+        """Remove a request that shall not run any more."""
+        work = self._deferred.get(workspace, OrderedDict()).pop(request_id, None)
+        return work or self.policy.remove(workspace, request_id)
 
     def take_next(self, now: float) -> QueuedWork | None:
         """Remove the request to run next if there is a permit for it."""
-        return self.policy.pop(now) if self.n_used < self.n_permits else None
+        while self.n_used < self.n_permits:
+            work = self.policy.pop(now)
+            if work is None or not _is_begin(work.routed) or self._may_begin(work):
+                return work
+            self.refund(work.workspace)
+            deferred = self._deferred.setdefault(work.workspace, OrderedDict())
+            deferred[work.request_id] = work
+        return None
+
+    def _may_begin(self, work: QueuedWork) -> bool:
+        own_limit = max(1, int(self.n_permits * WORKSPACE_TRANSACTION_SHARE))
+        limit = max(1, int(self.n_permits * TRANSACTION_SHARE))
+        return (
+            self._transactions[work.workspace] < own_limit
+            and self._transactions.total() < limit
+        )
 
     def start(self, routed: RoutedRequest, now: float) -> None:
         """Give a permit to a request."""
         request = routed.request
         expected = self._times.estimate(request.workspace)
         self._running[request.request_id] = RunningWork(routed, expected, now)
+        if _is_begin(routed):
+            self._transactions[request.workspace] += 1
 
     def finish(self, execution: Execution) -> RunningWork | None:
-        """Take the permit back.
+        """Take the permit back, unless a begin succeeded.
 
         :returns: ``None`` when the request holds none.
         """
-        return self._running.pop(execution.routed.request.request_id, None)
+        work = self._running.pop(execution.routed.request.request_id, None)
+        if work is not None and _is_begin(work.routed):
+            if execution.result is None:
+                self._free_transaction(work.routed.request.workspace)
+            else:
+                self._n_open += 1
+        return work
+
+    def end_transaction(self, workspace: str) -> None:
+        """Take back the permit of an open transaction."""
+        self._n_open -= 1
+        self._free_transaction(workspace)
+
+    def _free_transaction(self, workspace: str) -> None:
+        self._transactions[workspace] -= 1
+        for deferred in self._deferred.values():
+            if deferred:
+                self.policy.push(deferred.popitem(last=False)[1])
 
     def charge(self, work: RunningWork, service_seconds: float) -> None:
         """Account for the time of a request on its connection."""
@@ -89,12 +146,16 @@
         """Current load, for the choice between databases."""
         return DatabaseLoad(
             database=self.name,
-            n_queued=len(self.policy),
+            n_queued=self.n_waiting,
             n_running=self.n_used,
             mean_service_seconds=self._times.mean_seconds,
         )
 
 
+def _is_begin(routed: RoutedRequest) -> bool:
+    return routed.request.action is Action.BEGIN
+
+
 class LoadReports:
     """Limits how often the load of a database is reported."""
 
--- a/src/sardinemill/filters/scheduling.py
+++ b/src/sardinemill/filters/scheduling.py
@@ -141,9 +141,7 @@
         if queue is None or queue.n_permits == 0:
             yield refuse_queued(request, RefusalCode.NO_HOME)
             return
-        if queue.policy.count(request.workspace) >= self._plans.find_limit(
-            request.workspace
-        ):
+        if queue.count(request.workspace) >= self._plans.find_limit(request.workspace):
             yield refuse_queued(request, RefusalCode.OVERLOADED)
             return
         queue.policy.push(QueuedWork(routed, now))
@@ -187,7 +185,7 @@
                 work = transaction.waiting.pop(request_id, None)
         else:
             queue = self._queues[place.database]
-            work = queue.policy.remove(place.workspace, request_id)
+            work = queue.remove(place.workspace, request_id)
             self._loads.add(queue)
         return None if work is None else work.routed.request
 
@@ -284,7 +282,6 @@
                 started_at=work.started_at,
             )
         )
-        queue.n_transactions += 1
         fields = {"transaction_id": transaction_id, "database": queue.name}
         yield Emission("events", Event(EventName.TRANSACTION_OPENED, fields))
         if is_cancelled:
@@ -327,7 +324,7 @@
             yield self._refuse_bound(work.routed.request)
         start = transaction.start
         queue = self._queues[start.database]
-        queue.n_transactions -= 1
+        queue.end_transaction(start.workspace)
         queue.policy.charge(
             start.workspace, start.expected_seconds, now - start.started_at
         )
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from builders import (
-    GROUP,
+    DATABASE,
     make_refusal,
     make_request,
     make_routed,
@@ -35,6 +35,7 @@
     WeightedFairQueueing,
 )
 from sardinemill.filters.scheduling import Scheduling
+from sardinemill.groups import GroupDescription
 from sardinemill.messages import (
     Action,
     Cancellation,
@@ -43,8 +44,9 @@
     UpstreamResult,
 )
 
-N_PERMITS = 2
-GROUPS = GroupsChanged(groups=(GROUP,), homes=())
+N_PERMITS = 4
+DATABASE = replace(DATABASE, n_connections=4 * N_PERMITS)
+GROUPS = GroupsChanged(groups=(GroupDescription("g", 1, (DATABASE,)),), homes=())
 CONFIGURATION = Configuration(
     version=1,
     plans={
@@ -265,6 +267,31 @@
     assert home.loads[-1].n_running == 0
 
 
+def test_transactions_leave_connections_for_statements():
+    """Guards against one workspace whose open transactions hold every connection, and
+    against begins that are forgotten while they wait for the end of another one.
+    """
+    home = Home(make_scheduling())
+    for number in range(5):
+        home.feed(make_work(f"b{number}", action=Action.BEGIN, deadline=5.0))
+    assert list(home.running) == ["b0", "b1"]
+    home.finish("b0")
+    home.finish("b1")
+    for number in range(2):
+        begin = make_work(f"w{number}", "w", action=Action.BEGIN, deadline=5.0)
+        home.feed(begin)
+    home.feed(make_work("s", "w"))
+    # Two of one workspace, three in all, and the last connection for statements.
+    assert list(home.running) == ["w0", "s"]
+    home.feed(Cancellation(request_id="b2"))
+    end = make_work("e", action=Action.ROLLBACK, transaction_id="a/b0")
+    home.feed(end)
+    home.finish("e")
+    assert len(home.running) == 3 and home.running.keys() < {"s", "w0", "w1", "b3"}
+    home.advance(5.0)
+    assert len(home.replies) == 2
+
+
 def test_fair_queueing_follows_weights_and_cost():
     """Guards against a workspace that gets more time by slow or by many requests, or
     by having used none before.
