Skip the survey of all instances for heartbeats that change nothing

Cause: each heartbeat went over all instances, so liveness cost grew with the square of the fleet. The filter now surveys them when a state changes, when the earliest silence is due, and with its own heartbeat.

--- a/src/sardinemill/filters/membership.py
+++ b/src/sardinemill/filters/membership.py
@@ -84,15 +84,15 @@
         self._version = 0
         self._heartbeat_at = float("-inf")
         self._poll_at = float("-inf")
+        # No instance in use falls silent before this time; later signs only move it.
+        self._silence_at = float("inf")
         self._poll_id: str | None = None
         self._list_failed = False
         self._current = MembershipChanged(live=(), leaving=())
 
     @property
     def next_tick(self) -> float | None:
-        times = [self._heartbeat_at, self._poll_at]
-        times.extend(self._list_changes_of_state())
-        return min(times)
+        return min(self._heartbeat_at, self._poll_at, self._silence_at)
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         return tuple(self._handle(message, now))
@@ -116,7 +116,8 @@
             yield from self._update(now)
 
     def _tick(self, now: float) -> Iterator[Emission]:
-        yield from self._update(now)
+        if min(self._silence_at, self._heartbeat_at) <= now:
+            yield from self._update(now)
         if self._heartbeat_at <= now:
             yield self._make_heartbeat(now)
         if self._poll_at <= now:
@@ -153,8 +154,11 @@
         if known is None or peer in self._suspected:
             self._suspected.discard(peer)
             yield _log(EventName.INSTANCE_HEARD, peer)
+        is_expected = not self._is_silent(peer, now) and _is_same(known, heartbeat)
         self._signs[peer] = _Sign(heartbeat=heartbeat, heard_at=now)
-        yield from self._update(now)
+        # Almost all heartbeats change nothing; an update goes over all instances.
+        if not is_expected:
+            yield from self._update(now)
 
     # List
 
@@ -232,6 +236,10 @@
                 leaving.append(item)
             else:
                 live.append(item)
+        self._silence_at = min(
+            map(self._find_limit, [item.name for item in (*live, *leaving)]),
+            default=float("inf"),
+        )
         (live if self._info.state is InstanceState.LIVE else leaving).append(self._info)
         changed = MembershipChanged(
             live=_sort(live), leaving=_sort(leaving), candidates=_sort(candidates)
@@ -269,10 +277,14 @@
             self._suspected.add(name)
             yield _log(EventName.INSTANCE_SUSPECTED, name)
 
-    def _list_changes_of_state(self) -> Iterator[float]:
-        for item in (*self._current.live, *self._current.leaving):
-            if item.name != self._info.name:
-                yield self._find_limit(item.name)
+
+def _is_same(known: _Sign | None, heartbeat: Heartbeat) -> bool:
+    """Tell whether a heartbeat says the same of its sender as the one before."""
+    return (
+        known is not None
+        and known.heartbeat.state is heartbeat.state
+        and known.heartbeat.info == heartbeat.info
+    )
 
 
 def _sort(instances: Iterable[InstanceInfo]) -> tuple[InstanceInfo, ...]:
