--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -267,7 +267,8 @@
     :param n_tokens: granted tokens; 0 when the bucket is empty or the sender does not
         own the shard.
     :param lifetime_seconds: counted by the borrower from when it sent the request.
-    :param retry_after_seconds: when the bucket holds tokens again.
+    :param retry_after_seconds: when the bucket holds tokens again; 0 with a short
+        grant means that reports of spent loans make room for more at once.
     :param owner: instance that the sender believes to be the owner.
     """
 
@@ -390,8 +391,9 @@
 
     :param confirmed_age_seconds: time since the version was last confirmed against the
         store, at the time of the answer.
-    :param store_unreachable_seconds: how long the relay's store calls have failed; 0
-        while they succeed.
+    :param store_unreachable_seconds: time since the first of the relay's failing store
+        calls was made; 0 while they succeed.
+    :param store_failure_age_seconds: time since the last of them failed.
     :param document: encoded configuration when the asker's version is older.
     :param outage_age_seconds: age of the evidence that no data centre reaches the
         store, or ``None`` without such evidence.
@@ -405,6 +407,7 @@
     store_unreachable_seconds: float
     document: bytes | None = field(default=None, repr=False)
     outage_age_seconds: float | None = None
+    store_failure_age_seconds: float = 0.0
 
 
 # Home side
