--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,7 +15,6 @@
 from sardinemill.changes import Change
 from sardinemill.codecs import decode_message, encode_message
 from sardinemill.configuration import (
-    EMPTY_CONFIGURATION,
     ConfigurationChanged,
     ConfigurationConfirmed,
 )
@@ -75,6 +74,7 @@
         self.cut_from_store: set[str] = set()
         self.cut_links: set[frozenset[str]] = set()
         self.counts: Counter[str] = Counter()
+        self.traffic: Counter[str] = Counter()
         self.snapshot = Snapshot()
         self._random = SeededRandom(random_state)
         self._codec = MessagePackDocuments()
@@ -250,7 +250,8 @@
         data = encode_message(envelope.message)
         source = member.info
         self.counts["peer messages"] += 1
-        self.counts["peer bytes"] += len(data)
+        self.traffic[source.name] += len(data)
+        self.traffic[envelope.peer] += len(data)
         target = self.members[envelope.peer].info
         link = frozenset((source.data_centre, target.data_centre))
         if link in self.cut_links:
@@ -317,6 +318,3 @@
     for name, member in fleet.members.items():
         views.setdefault(member.info.data_centre, []).append(name)
     return views
-
-
-__all__ = ["EMPTY_CONFIGURATION", "Fleet", "Member", "make_views"]
--- a/src/sardinemill/cli.py
+++ b/src/sardinemill/cli.py
@@ -18,7 +18,7 @@
 from .commands import COMMANDS
 from .edits import Invalid
 from .errors import SardinemillError, StoreError
-from .interfaces import Store
+from .interfaces import Clock, Store
 from .operations import OperationContext
 from .session import (
     Command,
@@ -47,14 +47,18 @@
 """
 
 
-class StoreClient(Store, Protocol):
-    """Store with life-cycle hooks."""
+class Client(Protocol):
+    """Client with life-cycle hooks."""
 
     async def start(self) -> None: ...
 
     async def stop(self) -> None: ...
 
 
+class StoreClient(Store, Client, Protocol):
+    """Store with life-cycle hooks."""
+
+
 def main() -> None:
     """Entry point of the console script."""
     sys.exit(run(sys.argv[1:], os.environ))
@@ -65,12 +69,13 @@
     environment: Mapping[str, str],
     *,
     store: StoreClient | None = None,
+    clock: Clock | None = None,
     output: TextIO | None = None,
     questions: TextIO | None = None,
 ) -> int:
     """Run one command.
 
-    :param store: replaces the HTTP client, for tests.
+    :param store: replaces the HTTP client, for tests; ``clock`` the system's clock.
     :param questions: where answers to questions are read from.
     :returns: exit status.
     """
@@ -94,7 +99,23 @@
             _print_report(report, options.json, output)
             return int(report.status)
         client = store or _open_store(options.store)
-        report = asyncio.run(_serve(command, options, client, output, questions))
+        source = HttpStatusSource()
+        session = Session(
+            context=OperationContext(
+                store=client,
+                codec=MessagePackDocuments(),
+                clock=clock or SystemClock(),
+                random=SystemRandom(),
+                author=options.author or getpass.getuser(),
+            ),
+            source=source,
+            # With --json the output is a single document.
+            say=lambda text: None if options.json else print(text, end="", file=output),
+            confirm=lambda text: options.yes or _ask(text, questions),
+            is_waiting=options.wait,
+            expected_version=options.expect_version,
+        )
+        report = asyncio.run(_serve(command, session, (client, source)))
     except ValueError as error:
         print(error, file=sys.stderr)
         return ExitStatus.WRONG_INPUT
@@ -126,29 +147,12 @@
 
 async def _serve(
     command: Command | EditCommand | KeyCommand,
-    options: argparse.Namespace,
-    store: StoreClient,
-    output: TextIO,
-    questions: TextIO | None,
+    session: Session,
+    clients: Sequence[Client],
 ) -> Report:
-    source = HttpStatusSource()
-    session = Session(
-        context=OperationContext(
-            store=store,
-            codec=MessagePackDocuments(),
-            clock=SystemClock(),
-            random=SystemRandom(),
-            author=options.author or getpass.getuser(),
-        ),
-        source=source,
-        # With --json the output is a single document.
-        say=lambda text: None if options.json else print(text, end="", file=output),
-        confirm=lambda text: options.yes or _ask(text, questions),
-        is_waiting=options.wait,
-        expected_version=options.expect_version,
-    )
-    await store.start()
-    await source.start()
+    """Run a command between start and stop of its clients."""
+    for client in clients:
+        await client.start()
     try:
         return await run_command(command, session)
     except InvalidConfiguration as error:
@@ -159,8 +163,8 @@
     except SardinemillError as error:
         return Report(status=ExitStatus.REFUSED, text=f"{error.message}\n")
     finally:
-        await source.stop()
-        await store.stop()
+        for client in reversed(clients):
+            await client.stop()
 
 
 def _ask(text: str, questions: TextIO | None) -> bool:
--- a/src/sardinemill/session.py
+++ b/src/sardinemill/session.py
@@ -19,6 +19,7 @@
     Unknown,
     list_winners,
 )
+from .errors import StoreError
 from .fleet_operations import StatusSource, wait_until_in_force
 from .operations import (
     OperationContext,
@@ -109,44 +110,70 @@
     if isinstance(command, EditCommand):
         base = await read_snapshot(session.context)
         change = await command.make_change(session.context, base)
-        return await run_edit(session, base, change)
+        return (await run_edit(session, base, change)).report
     if isinstance(command, KeyCommand):
-        return await give_key_in_session(session, command)
+        return await _give_key(session, command)
     return await command(session)
 
 
-async def give_key_in_session(session: Session, command: KeyCommand) -> Report:
+async def _give_key(session: Session, command: KeyCommand) -> Report:
     """Give a key; it is also shown when the outcome is unknown."""
     gift = make_key_gift(
         session.context, workspace=command.workspace, key_id=command.key_id
     )
     base = await read_snapshot(session.context)
-    report = await run_edit(session, base, gift.change)
-    if report.status not in (ExitStatus.DONE, ExitStatus.UNKNOWN):
+    outcome = await run_edit(session, base, gift.change)
+    report = outcome.report
+    if not isinstance(outcome.result, Accepted | Unknown):
         return report
     text = f"{report.text}key {gift.key_id}, shown only now:\n{gift.key}\n"
     data = {"key_id": gift.key_id, "key": gift.key, "result": report.data}
     return Report(status=report.status, text=text, data=data)
 
 
-async def run_edit(session: Session, base: Snapshot, change: Change) -> Report:
-    """Show an edit, ask where callers lose access, and submit it."""
+@dataclass(frozen=True, slots=True)
+class EditOutcome:
+    """What became of an edit.
+
+    :param result: ``None`` when the operator did not confirm it.
+    """
+
+    result: EditResult | None
+    report: Report
+
+
+async def run_edit(session: Session, base: Snapshot, change: Change) -> EditOutcome:
+    """Show an edit, ask where callers lose access, and submit it.
+
+    :raises InvalidConfiguration: with all faults.
+    :raises StoreUnavailable: when nothing was changed.
+    """
     conflict = await _check_expected(session, base)
     if conflict is not None:
-        return report_result(conflict)
+        return EditOutcome(conflict, report_result(conflict))
     prepared = preview_edit(session.context, base=base, change=change)
     session.say(format_difference(prepared.difference))
     if not _is_confirmed(session, prepared):
         text = "not confirmed; nothing was changed\n"
         data = {"result": "not confirmed", "difference": prepared.difference}
-        return Report(status=ExitStatus.REFUSED, text=text, data=data)
+        report = Report(status=ExitStatus.REFUSED, text=text, data=data)
+        return EditOutcome(None, report)
     result = await submit_edit(session.context, prepared=prepared)
     report = report_result(result)
-    if not session.is_waiting or not isinstance(result, Accepted):
-        return report
-    waited = await wait_for_version(session, result.version, WAIT_SECONDS)
-    data = {"edit": report.data, "wait": waited.data}
-    return Report(status=waited.status, text=report.text + waited.text, data=data)
+    if session.is_waiting and isinstance(result, Accepted):
+        waited = await _wait_after_edit(session, result.version)
+        data = {"edit": report.data, "wait": waited.data}
+        text = report.text + waited.text
+        report = Report(status=waited.status, text=text, data=data)
+    return EditOutcome(result, report)
+
+
+async def _wait_after_edit(session: Session, version: int) -> Report:
+    try:
+        return await wait_for_version(session, version, WAIT_SECONDS)
+    except StoreError as error:
+        text = f"the instances could not be listed: {error.message}\n"
+        return Report(status=ExitStatus.UNAVAILABLE, text=text)
 
 
 async def _check_expected(session: Session, base: Snapshot) -> Conflict | None:
