--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -36,7 +36,6 @@
 from .filters.membership import Membership
 from .filters.placement import Placement
 from .filters.queueing import (
-    Ageing,
     FirstInFirstOut,
     QueuePolicy,
     ServiceTimes,
@@ -76,7 +75,6 @@
 QUEUE_POLICIES: Mapping[str, Callable[[ServiceTimes], QueuePolicy]] = {
     "fifo": FirstInFirstOut,
     "fair": WeightedFairQueueing,
-    "ageing": Ageing,
 }
 
 
@@ -266,7 +264,12 @@
         )
         self._bind(
             "placement",
-            {"home": stages["reception"], "peers": link, "reply": replies},
+            {
+                "home": stages["reception"],
+                "peers": link,
+                "reply": replies,
+                "refused": stages["placement"],
+            },
         )
         self._bind(
             "reception",
@@ -274,6 +277,7 @@
                 "next": stages["routing"],
                 "placement": stages["placement"],
                 "peers": link,
+                "refused": stages["reception"],
             },
         )
         self._bind(
--- a/src/sardinemill/settings.py
+++ b/src/sardinemill/settings.py
@@ -38,7 +38,6 @@
 
     FIFO = "fifo"
     FAIR = "fair"
-    AGEING = "ageing"
 
 
 class LogLevel(StrEnum):
@@ -219,7 +218,7 @@
     :param log_file: path of the log; standard output by default
     :param log_level: debug, info, warning or error
     :param detector: timeout, observers or accrual
-    :param queue_policy: fifo, fair or ageing
+    :param queue_policy: fifo or fair
     :param print_example: print an example environment and exit
     """
     return dict(locals())
