--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -25,6 +25,7 @@
 
     :param n_connections: connections that a database accepts.
     :param lag_seconds: replication lag of each database to each other one.
+    :param delay_seconds: one way between data centres.
     """
 
     data_centres: tuple[str, ...]
@@ -35,6 +36,7 @@
     workspaces: tuple[Workspace, ...]
     lag_seconds: float = 0.005
     drain_seconds: float = 1.0
+    delay_seconds: float = 0.0
     settings: dict[str, str] = field(default_factory=dict)
 
 
@@ -229,9 +231,12 @@
         }
         self.instances[name] = self._start(
             name,
-            "sardinemill.daemon",
+            "sardinemill.emulator.instance_daemon",
             [f"--{flag}={value}" for flag, value in settings.items()],
-            environment={"SARDINEMILL_FLEET_SECRET": self._secret},
+            environment={
+                "SARDINEMILL_FLEET_SECRET": self._secret,
+                "SARDINEMILL_EMULATOR_DELAY_SECONDS": str(self.size.delay_seconds),
+            },
         )
         self.list_instance(name, data_centre, "live")
 
--- a/src/sardinemill/daemon.py
+++ b/src/sardinemill/daemon.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 from .adapters.clocks import SystemClock, SystemRandom
 from .adapters.peers import ZmqPeerLink
@@ -19,9 +20,18 @@
 EXIT_BAD_SETTINGS = 2
 
 
-async def run_instance(settings: Settings) -> None:
+def keep_edges(edges: Edges, settings: Settings) -> Edges:
+    """Use the adapters as they are."""
+    return edges
+
+
+async def run_instance(
+    settings: Settings,
+    change_edges: Callable[[Edges, Settings], Edges] = keep_edges,
+) -> None:
     """Run an instance until SIGTERM or SIGINT, then drain it.
 
+    :param change_edges: may put something between the instance and its adapters.
     :raises ExceptionGroup: with every failure of tasks and hooks.
     """
     clock, random_source = SystemClock(), SystemRandom()
@@ -35,18 +45,16 @@
             settings.name, address, sink, clock, random_source, events=journal
         )
 
-    instance = Instance(
-        settings,
-        Edges(
-            clock=clock,
-            random_source=random_source,
-            store=store,
-            connector=connector,
-            events=journal,
-            make_peer_link=make_peer_link,
-            parts=(store, connector),
-        ),
+    edges = Edges(
+        clock=clock,
+        random_source=random_source,
+        store=store,
+        connector=connector,
+        events=journal,
+        make_peer_link=make_peer_link,
+        parts=(store, connector),
     )
+    instance = Instance(settings, change_edges(edges, settings))
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -55,14 +63,19 @@
     await instance.application.run_until(stopping)
 
 
-def main() -> None:
-    """Entry point of the console script; exits with 2 on bad settings."""
+def run_main(change_edges: Callable[[Edges, Settings], Edges] = keep_edges) -> None:
+    """Run with settings from flags and environment; exits with 2 on bad ones."""
     try:
         settings = read_settings(sys.argv[1:], os.environ)
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    asyncio.run(run_instance(settings))
+    asyncio.run(run_instance(settings, change_edges))
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    run_main()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/sardinemill/emulator/delays.py
@@ -0,0 +1,174 @@
+"""Delays between data centres, for instances that all run on one machine."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import replace
+
+from ..composition import Edges, PeerLinkPart
+from ..control import (
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    InstanceInfo,
+    MembershipChanged,
+    PeerEnvelope,
+    PromoteAnswer,
+    PromoteOrder,
+)
+from ..groups import DatabaseDescription
+from ..interfaces import (
+    Clock,
+    ControlConnection,
+    Outlet,
+    UpstreamConnection,
+    UpstreamConnector,
+)
+from ..messages import UpstreamCall, UpstreamResult
+from ..positions import LogPosition
+
+
+class DelayedPeerLink:
+    """Peer link that sends to other data centres after a delay.
+
+    :param delay_seconds: one way; messages to all peers get it as well.
+    """
+
+    def __init__(
+        self, link: PeerLinkPart, data_centre: str, delay_seconds: float
+    ) -> None:
+        self._link = link
+        self._data_centre = data_centre
+        self._delay_seconds = delay_seconds
+        self._near: set[str] = set()
+
+    def offer(self, message: object) -> bool:
+        """Take an envelope or a change of membership."""
+        if isinstance(message, MembershipChanged):
+            self.set_peers(message.candidates)
+            return self._link.offer(message)
+        if isinstance(message, PeerEnvelope) and message.peer not in self._near:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._delay_seconds, self._link.offer, message)
+            return True
+        return self._link.offer(message)
+
+    def set_peers(self, instances: Sequence[InstanceInfo]) -> None:
+        """Note which peers are in the own data centre."""
+        self._near = {
+            item.name for item in instances if item.data_centre == self._data_centre
+        }
+
+    async def start(self) -> None:
+        await self._link.start()
+
+    async def drain(self) -> None:
+        await self._link.drain()
+
+    async def stop(self) -> None:
+        await asyncio.sleep(self._delay_seconds)
+        await self._link.stop()
+
+
+class DelayedConnection:
+    """Database connection into another data centre."""
+
+    def __init__(
+        self, connection: UpstreamConnection, clock: Clock, delay_seconds: float
+    ) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._delay_seconds = delay_seconds
+
+    async def run(self, call: UpstreamCall) -> UpstreamResult:
+        await self._clock.sleep(self._delay_seconds)
+        result = await self._connection.run(call)
+        await self._clock.sleep(self._delay_seconds)
+        return result
+
+    async def close(self) -> None:
+        await self._connection.close()
+
+
+class DelayedControl:
+    """Control connection into another data centre."""
+
+    def __init__(
+        self, control: ControlConnection, clock: Clock, delay_seconds: float
+    ) -> None:
+        self._control = control
+        self._clock = clock
+        self._delay_seconds = delay_seconds
+
+    async def report(
+        self, *, wait_for: LogPosition | None, timeout_seconds: float
+    ) -> DatabaseReport:
+        asked_at = self._clock.now()
+        await self._clock.sleep(self._delay_seconds)
+        report = await self._control.report(
+            wait_for=wait_for, timeout_seconds=timeout_seconds
+        )
+        await self._clock.sleep(self._delay_seconds)
+        return replace(report, asked_at=asked_at, received_at=self._clock.now())
+
+    async def fence(self, order: FenceOrder) -> FenceAnswer:
+        await self._clock.sleep(self._delay_seconds)
+        answer = await self._control.fence(order)
+        await self._clock.sleep(self._delay_seconds)
+        return answer
+
+    async def promote(self, order: PromoteOrder) -> PromoteAnswer:
+        await self._clock.sleep(self._delay_seconds)
+        answer = await self._control.promote(order)
+        await self._clock.sleep(self._delay_seconds)
+        return answer
+
+    async def close(self) -> None:
+        await self._control.close()
+
+
+class DelayedConnector:
+    """Connector whose connections into other data centres are delayed."""
+
+    def __init__(
+        self,
+        connector: UpstreamConnector,
+        clock: Clock,
+        data_centre: str,
+        delay_seconds: float,
+    ) -> None:
+        self._connector = connector
+        self._clock = clock
+        self._data_centre = data_centre
+        self._delay_seconds = delay_seconds
+
+    async def connect(
+        self, database: DatabaseDescription, *, timeout_seconds: float
+    ) -> UpstreamConnection:
+        connection = await self._connector.connect(
+            database, timeout_seconds=timeout_seconds
+        )
+        if database.data_centre == self._data_centre:
+            return connection
+        return DelayedConnection(connection, self._clock, self._delay_seconds)
+
+    async def connect_control(
+        self, database: DatabaseDescription, *, timeout_seconds: float
+    ) -> ControlConnection:
+        control = await self._connector.connect_control(
+            database, timeout_seconds=timeout_seconds
+        )
+        if database.data_centre == self._data_centre:
+            return control
+        return DelayedControl(control, self._clock, self._delay_seconds)
+
+
+def delay_edges(edges: Edges, data_centre: str, delay_seconds: float) -> Edges:
+    """Put the delay between an instance and everything in other data centres."""
+
+    def make_peer_link(sink: Outlet) -> PeerLinkPart:
+        return DelayedPeerLink(edges.make_peer_link(sink), data_centre, delay_seconds)
+
+    connector = DelayedConnector(
+        edges.connector, edges.clock, data_centre, delay_seconds
+    )
+    return replace(edges, connector=connector, make_peer_link=make_peer_link)
--- /dev/null
+++ b/src/sardinemill/emulator/instance_daemon.py
@@ -0,0 +1,22 @@
+"""Instance with delays to other data centres; otherwise ``sardinemill-instance``.
+
+``SARDINEMILL_EMULATOR_DELAY_SECONDS`` sets the delay one way.
+"""
+
+import os
+
+from ..composition import Edges
+from ..daemon import run_main
+from ..settings import Settings
+from .delays import delay_edges
+
+DELAY_VARIABLE = "SARDINEMILL_EMULATOR_DELAY_SECONDS"
+
+
+def _delay(edges: Edges, settings: Settings) -> Edges:
+    seconds = float(os.environ.get(DELAY_VARIABLE, "0"))
+    return delay_edges(edges, settings.data_centre, seconds)
+
+
+if __name__ == "__main__":
+    run_main(_delay)
