--- a/src/sardinemill/filters/acknowledgement.py
+++ b/src/sardinemill/filters/acknowledgement.py
@@ -98,9 +98,10 @@
             asked_at = self._asked_at.get(name, report.asked_at)
             self._asked_at[name] = max(asked_at, report.asked_at)
         question = self.questions.get(name)
-        if question is not None and (
-            report.position >= question.wait_for
-            or report.fenced_term > question.wait_for.term
+        if (
+            question is not None
+            and report.asked_at >= question.asked_at
+            and report.position >= question.wait_for
         ):
             del self.questions[name]
         is_changed = before != (self._held.get(name), self._fenced[name])
@@ -160,6 +161,8 @@
                 for write in self.pending.values()
                 if write.primary != database.name
                 and not self.holds(database.name, write)
+                # A database fenced above the term answers at once and never counts.
+                and self._fenced.get(database.name, 0) <= write.position.term
             ]
             if missing:
                 asked.append((database.name, min(missing)))
--- a/src/sardinemill/filters/held_requests.py
+++ b/src/sardinemill/filters/held_requests.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..control import ReportQuery
+from ..control import DatabaseReport, ReportQuery
 from ..errors import Outcome
 from ..groups import GroupDescription
 from ..interfaces import Emission
@@ -14,6 +14,8 @@
 # the entry gives up and has to report an unknown outcome.
 REPLY_MARGIN_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
+# Reports that have not come after this time are asked for again.
+ROUND_RETRY_SECONDS = 0.25
 # First delay before a refused write is tried again, doubled with each attempt.
 WRITE_RETRY_SECONDS = 0.05
 MAX_WRITE_RETRY_SECONDS = 0.8
@@ -51,9 +53,27 @@
         self.table = PositionsTable(group)
         self.held: dict[str, HeldRequest] = {}
         self.round_started_at: float | None = None
-        self.asked_for: dict[str, float] = {}
+        self._questions: dict[str, tuple[float, LogPosition]] = {}
         self.asked_all_at = float("-inf")
 
+    def begin_question(self, database: str, position: LogPosition, now: float) -> bool:
+        """Tell whether to ask a replica to report once it holds a position.
+
+        A replica that cannot reach the position answers at once, so the question is
+        repeated by time and not by answer.
+        """
+        question = self._questions.get(database)
+        if question is not None and question[0] > now - ROUND_RETRY_SECONDS:
+            return False
+        self._questions[database] = (now, position)
+        return True
+
+    def end_question(self, report: DatabaseReport) -> None:
+        """Allow another question once a replica holds the position."""
+        question = self._questions.get(report.database)
+        if question is not None and report.position >= question[1]:
+            del self._questions[report.database]
+
     def needs_round(self) -> bool:
         """Tell whether a read waits for a watermark."""
         return any(
--- a/src/sardinemill/filters/routing.py
+++ b/src/sardinemill/filters/routing.py
@@ -29,6 +29,7 @@
 )
 from ..positions import LogPosition
 from .held_requests import (
+    ROUND_RETRY_SECONDS,
     GroupState,
     HeldRequest,
     ask_all,
@@ -46,8 +47,6 @@
 )
 from .transactions import TransactionTable
 
-# Reports that have not come after this time are asked for again.
-ROUND_RETRY_SECONDS = 0.25
 # A read is tried on each of three databases and once more after a change of primary.
 N_READ_ATTEMPTS = 4
 # Least time between two questions to all databases after refused writes.
@@ -211,9 +210,9 @@
             until = now + REPLICA_WAIT_SECONDS
             state.held[request.request_id] = replace(held, patience_until=until)
             self._set_timer(until, request.group, request.request_id)
-        if state.asked_for.get(database, float("-inf")) > now - ROUND_RETRY_SECONDS:
+        assert held.requirement is not None
+        if not state.begin_question(database, held.requirement, now):
             return []
-        state.asked_for[database] = now
         query = ReportQuery(
             group=request.group, database=database, wait_for=held.requirement
         )
@@ -348,7 +347,7 @@
         state = self._groups.get(report.group)
         if state is None:
             return []
-        state.asked_for.pop(report.database, None)
+        state.end_question(report)
         watermark = state.table.take_report(report)
         started_at = state.round_started_at
         if watermark and started_at is not None and watermark.started_at >= started_at:
@@ -358,7 +357,6 @@
     def _take_failure(self, failure: ReportFailure) -> list[Emission]:
         state = self._groups.get(failure.group)
         if state is not None:
-            state.asked_for.pop(failure.database, None)
             state.table.take_failure(failure)
         return []
 
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,262 @@
+"""Failover, acknowledgement and routing together, against naive models."""
+
+import random
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from replication_world import DATABASES, HOMES, FakeDatabase, World
+from sardinemill.errors import Outcome
+from sardinemill.filters.detection import (
+    AccrualDetector,
+    ObserverDetector,
+    TimeoutDetector,
+)
+from sardinemill.messages import Answer, Refusal, Reply, StatementKind
+from sardinemill.positions import ORIGIN, LogPosition
+
+DETECTORS = {
+    "timeout": TimeoutDetector,
+    "observers": lambda: ObserverDetector(TimeoutDetector()),
+    "accrual": AccrualDetector,
+}
+STEP_SECONDS = 0.6
+FAULTS = st.tuples(
+    st.sampled_from(
+        [
+            "cut home",
+            "cut replication",
+            "isolate",
+            "isolate replication",
+            "crash",
+            "restart",
+            "pause",
+            "leave",
+            "heal",
+            "nothing",
+        ]
+    ),
+    st.integers(0, 2),
+    st.integers(0, 2),
+)
+SETTINGS = settings(
+    max_examples=30,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+
+class Model:
+    """Naive model: every acknowledged write is in one list, in one place."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.acknowledged: dict[str, float] = {}
+        self.refused: set[str] = set()
+        self.tokens = [ORIGIN, ORIGIN]
+        self.session_of: dict[str, int] = {}
+        self.expected: dict[str, set[str]] = {}
+        world.on_reply = self.check_reply
+        world.on_promotion = self.check_primary
+
+    def write(self, home: str, session: int) -> str:
+        request_id = self.world.submit(self.world.homes[home], StatementKind.WRITE)
+        self.session_of[request_id] = session
+        return request_id
+
+    def read(self, home: str, session: int, staleness: float) -> str:
+        before = self.world.now - staleness
+        seen = {name for name, at in self.acknowledged.items() if at <= before}
+        seen |= {name for name in self.acknowledged if self.session_of[name] == session}
+        request_id = self.world.submit(
+            self.world.homes[home],
+            StatementKind.READ,
+            minimum_position=self.tokens[session],
+            staleness_seconds=staleness,
+        )
+        self.expected[request_id] = seen
+        self._check_read(request_id)
+        return request_id
+
+    def check_reply(self, reply: Reply) -> None:
+        if isinstance(reply, Refusal):
+            if reply.outcome is Outcome.NOT_RUN:
+                self.refused.add(reply.request_id)
+            return
+        if reply.request_id.startswith("read"):
+            self._check_read(reply.request_id)
+            return
+        assert reply.session is not None
+        session = self.session_of.get(reply.request_id, 0)
+        self.tokens[session] = max(self.tokens[session], reply.session.position)
+        self.acknowledged[reply.request_id] = self.world.now
+        term, name = max(self.world.primaries.items())
+        position = reply.session.position
+        log = self.world.databases[name].log
+        assert position.term <= term
+        assert log[position.offset - 1] == (position.term, reply.request_id)
+
+    def check_primary(self, database: FakeDatabase) -> None:
+        if self.world.primaries[max(self.world.primaries)] == database.name:
+            values = {value for _, value in database.log}
+            assert self.acknowledged.keys() <= values, "an acknowledged write is lost"
+
+    def check_end(self) -> None:
+        for database in self.world.databases.values():
+            values = [value for _, value in database.log if value]
+            assert len(values) == len(set(values)), "a write ran twice"
+            assert not self.refused & set(values), "a write reported as not run ran"
+        self.check_primary(self.world.databases[max(self.world.primaries.items())[1]])
+
+    def _check_read(self, request_id: str) -> None:
+        answer = self.world.find_answer(request_id)
+        if answer is not None and request_id in self.expected:
+            missing = self.expected[request_id] - {row[0] for row in answer.rows}
+            assert not missing, "a read misses acknowledged writes"
+
+
+def apply_fault(world: World, kind: str, one: int, other: int) -> None:
+    """Apply one drawn fault."""
+    home, database, peer = HOMES[one], DATABASES[other], DATABASES[one]
+    if kind == "cut home":
+        world.cuts.add(frozenset((home, database)))
+    elif kind == "cut replication":
+        world.cuts.add(frozenset((database, peer)))
+    elif kind == "isolate":
+        world.cuts |= {frozenset((database, name)) for name in HOMES + DATABASES}
+    elif kind == "isolate replication":
+        world.cuts |= {frozenset((database, name)) for name in DATABASES}
+    elif kind == "crash":
+        world.databases[database].is_up = False
+    elif kind == "restart":
+        world.databases[database].restart()
+    elif kind == "pause":
+        world.pause(world.homes[home], 0.4 + other)
+    elif kind == "leave":
+        world.databases[database].is_leaving = one > 0
+    elif kind == "heal":
+        heal(world)
+
+
+def heal(world: World) -> None:
+    """End all faults."""
+    world.cuts.clear()
+    for database in world.databases.values():
+        database.is_leaving = False
+        if not database.is_up:
+            database.restart()
+
+
+def run_load(model: Model, source: random.Random, seconds: float) -> None:
+    """Submit writes and reads at random homes for a while."""
+    end = model.world.now + seconds
+    while model.world.now < end:
+        home, session = source.choice(HOMES), source.randrange(2)
+        if source.random() < 0.5:
+            model.write(home, session)
+        else:
+            model.read(home, session, source.choice((0.0, 0.0, 0.3, 2.0)))
+        model.world.run(source.uniform(0.0, 0.06))
+
+
+@SETTINGS
+@given(
+    seed=st.integers(0, 10**6),
+    detector=st.sampled_from(sorted(DETECTORS)),
+    n_replicated=st.sampled_from([1, 5, 1000]),
+    faults=st.lists(FAULTS, min_size=6, max_size=14),
+)
+def test_guarantees_hold_under_faults(seed, detector, n_replicated, faults):
+    """Guards against lost acknowledged writes, two primaries in a term, wrong *not
+    run* outcomes, stale reads, and a group that stays without a primary.
+    """
+    world = World(seed, DETECTORS[detector], n_replicated=n_replicated)
+    model = Model(world)
+    source = random.Random(seed)
+    run_load(model, source, 2.0)
+    for fault in faults:
+        apply_fault(world, *fault)
+        run_load(model, source, STEP_SECONDS)
+    heal(world)
+    world.has_chaos = False
+    world.run(12.0)
+    model.check_end()
+    finals = [model.write(home, 0) for home in HOMES]
+    finals += [model.read(home, 1, 0.0) for home in HOMES]
+    world.run(3.5)
+    for request_id in finals:
+        assert isinstance(world.replies[request_id][1], Answer), request_id
+    model.check_end()
+
+
+def find_gap(fault, detector: str) -> tuple[float, World]:
+    """Return the time from a fault to the next acknowledged write at any home."""
+    world = World(1, DETECTORS[detector], has_chaos=False)
+    model = Model(world)
+    world.run(6.0)
+    run_load(model, random.Random(1), 1.0)
+    primary = world.databases[max(world.primaries.items())[1]]
+    began_at = world.now
+    fault(world, primary)
+    n_before = len(model.acknowledged)
+    while len(model.acknowledged) == n_before and world.now < began_at + 20:
+        run_load(model, random.Random(2), 0.1)
+    return min(list(model.acknowledged.values())[n_before:]) - began_at, world
+
+
+def crash(world: World, primary: FakeDatabase) -> None:
+    primary.is_up = False
+
+
+def cut_replication(world: World, primary: FakeDatabase) -> None:
+    apply_fault(world, "isolate replication", 0, DATABASES.index(primary.name))
+
+
+def leave(world: World, primary: FakeDatabase) -> None:
+    primary.is_leaving = True
+
+
+def test_change_of_primary_completes_within_the_target():
+    """Guards against a failover that exceeds 5 s of simulated time, or that logs no
+    event for one of its steps.
+    """
+    for detector in DETECTORS:
+        for fault in (crash, cut_replication, leave):
+            gap, world = find_gap(fault, detector)
+            assert gap < 5.0, (detector, fault.__name__, gap)
+            names = {event.name.name for _, _, event in world.events}
+            assert {
+                "PRIMARY_SUSPECTED",
+                "FENCE_STARTED",
+                "FENCE_COMPLETED",
+                "PRIMARY_CHOSEN",
+                "PRIMARY_PROMOTED",
+                "PRIMARY_LEARNED",
+            } <= names
+
+
+def test_stale_promotion_is_refused_after_a_higher_fence():
+    """Guards against an orderer that was paused between choosing and promoting and
+    that makes a superseded database primary.
+    """
+    world = World(3, TimeoutDetector, has_chaos=False)
+    model = Model(world)
+    world.run(4.0)
+    old = world.databases[max(world.primaries.items())[1]]
+    first = world.homes["home0"]
+    cuts = {frozenset(("home0", name)) for name in DATABASES if name != old.name}
+    old.is_up = False
+    world.run(1.45)
+    world.pause(first, 3.0)
+    world.cuts |= cuts
+    world.run(6.0)
+    heal(world)
+    world.run(6.0)
+    model.check_end()
+    assert len({max(world.primaries)}) == 1
+    request_id = model.write("home0", 0)
+    world.run(3.0)
+    assert isinstance(world.replies[request_id][1], Answer)
+    position = world.replies[request_id][1].session.position
+    assert position > LogPosition(min(world.primaries), 0)
