--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -83,6 +83,7 @@
     paused_until: float = 0.0
     is_stopped: bool = False
     ticks: dict[str, float] = field(default_factory=dict)
+    stopped: set[str] = field(default_factory=set)
     n_ticks: Counter[tuple[str, int]] = field(default_factory=Counter)
 
     def read_clock(self, time: float) -> float:
@@ -173,6 +174,13 @@
         """Stop an instance without notice."""
         self.nodes.pop(name).is_stopped = True
 
+    def kill_lending(self, name: str) -> None:
+        """Stop the lending side of an instance; its callers have gone elsewhere.
+
+        The admission filter stays as the entry of these callers' new connections.
+        """
+        self.nodes[name].stopped.update(("lending", "leasing"))
+
     def drain_node(self, name: str) -> None:
         """Ask an instance to stop."""
         for target in ("admission", "leasing"):
@@ -249,7 +257,7 @@
             self._run(node, target, message)
 
     def _run(self, node: Node, target: str, message: object | None) -> None:
-        if node.is_stopped:
+        if node.is_stopped or target in node.stopped:
             return
         if node.paused_until > self.now:
             self.schedule(node.paused_until, lambda: self._run(node, target, message))
