Let loans for waiting requests end early; back off without an owner

Cause: an instance with little demand spends a loan at once but reports it with its next borrow, up to a second later. Until then the loan fills the owner's bucket, so a small workspace in even entry was refused far below its rate. Reports by a message of their own were ruled out: one more message for each request.

A loan that covers only waiting requests now lives 0.25 s. Without a known owner, polls are spaced by 0.05 s doubling to 0.8 s instead of 0.1 s.

--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -231,6 +231,8 @@
     """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
 
     :param returns: loans of this owner that ended early, spent or not.
+    :param lifetime_seconds: longest use of the loan; a short one frees its place in
+        the bucket without a return message.
     """
 
     borrow_id: str
@@ -238,6 +240,7 @@
     workspace: str
     n_tokens: float
     returns: "tuple[LoanReturn, ...]" = ()
+    lifetime_seconds: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/filters/account.py
+++ b/src/sardinemill/filters/account.py
@@ -15,8 +15,9 @@
 STOCK_SECONDS = 0.2
 # A borrow starts when the stock covers less than this; several round trips.
 LOW_STOCK_SECONDS = 0.05
-# Loans are sent back this long before they expire, so that the return arrives in time.
-RETURN_SECONDS = 0.2
+# Part of a loan's life before its unspent tokens are sent back, so that the return
+# arrives in time.
+RETURN_FRACTION = 0.8
 # Sums of fractions may miss a whole token by a rounding error.
 EPSILON = 1e-9
 
@@ -28,6 +29,7 @@
     :param owner: instance that lent it.
     :param n_tokens: unspent tokens.
     :param expires_at: local clock; counted from the borrow request.
+    :param return_at: when unspent tokens are sent back.
     """
 
     borrow_id: str
@@ -35,6 +37,7 @@
     epoch: int
     n_tokens: float
     expires_at: float
+    return_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
     borrow_id: str
     owner: str
     n_tokens: float
+    lifetime_seconds: float
     sent_at: float
     next_send_at: float
     n_sent: int
@@ -85,7 +89,7 @@
         self.n_hints = 0
         # Time of the account's entry in the timer queue.
         self.due_at: float | None = None
-        self._n_held_tokens = 0.0
+        self.n_held_tokens = 0.0
         self._earliest_deadline = float("inf")
         self._demand = 0.0
         self._demand_at = float("-inf")
@@ -138,21 +142,21 @@
         while self.loans and self.loans[0].expires_at <= now:
             self.loans.popleft()
 
-    def end_loans(self, ending_before: float) -> None:
-        """Give up the loans that expire before a time, for return."""
-        while self.loans and self.loans[0].expires_at <= ending_before:
+    def end_loans(self, now: float) -> None:
+        """Give up the loans whose unspent tokens are due for return."""
+        while self.loans and self.loans[0].return_at <= now:
             self._end_first_loan(self.loans[0].n_tokens)
 
     def hold(self, item: HeldRequest) -> None:
         """Append a request that waits for tokens."""
         self.held.append(item)
-        self._n_held_tokens += item.n_tokens
+        self.n_held_tokens += item.n_tokens
         self._earliest_deadline = min(self._earliest_deadline, item.request.deadline)
 
     def take_held(self) -> HeldRequest:
         """Remove and return the request that waits longest."""
         item = self.held.popleft()
-        self._n_held_tokens -= item.n_tokens
+        self.n_held_tokens -= item.n_tokens
         return item
 
     def drop_held(self, request_id: str) -> bool:
@@ -177,7 +181,7 @@
         """Next time at which something happens without a message."""
         times = [float("inf")]
         if self.loans:
-            times.append(self.loans[0].expires_at - RETURN_SECONDS)
+            times.append(self.loans[0].return_at)
         if self.held:
             times += [self.held[0].until, self._earliest_deadline]
         if self.borrowing is not None:
@@ -204,7 +208,7 @@
         :param is_ahead: whether to borrow more than waiting requests need.
         """
         loaned = self.find_loaned()
-        needed = math.ceil(self._n_held_tokens - loaned - EPSILON)
+        needed = math.ceil(self.n_held_tokens - loaned - EPSILON)
         demand = self.find_demand(now) if is_ahead else 0.0
         if needed <= 0 and loaned >= demand * LOW_STOCK_SECONDS:
             return 0.0
@@ -215,7 +219,7 @@
 
     def _replace_held(self, items: list[HeldRequest]) -> None:
         self.held = deque(items)
-        self._n_held_tokens = sum(item.n_tokens for item in items)
+        self.n_held_tokens = sum(item.n_tokens for item in items)
         self._earliest_deadline = min(
             (item.request.deadline for item in items), default=float("inf")
         )
--- a/src/sardinemill/filters/admission.py
+++ b/src/sardinemill/filters/admission.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Sequence
 
 from ..configuration import ConfigurationChanged
@@ -23,13 +24,14 @@
 from ..interfaces import Emission, RandomSource
 from ..limits import (
     LOAN_LIFETIME_SECONDS,
+    SHORT_LIFETIME_SECONDS,
     LimitSettings,
     ShardRanking,
     find_shard,
 )
 from ..messages import Action, Cancellation, Refusal, RefusalCode, Request
 from .account import (
-    RETURN_SECONDS,
+    RETURN_FRACTION,
     Account,
     Borrowing,
     HeldRequest,
@@ -43,8 +45,9 @@
 # Several round trips within a region; doubled for each repeat.
 REPEAT_SECONDS = 0.05
 N_REPEATS = 3
-# Pause after an instance that is not the owner knew none either.
-NO_OWNER_SECONDS = 0.1
+# Pause after no owner was found; doubled each time, up to 0.8 s.
+NO_OWNER_SECONDS = 0.05
+N_DOUBLINGS = 4
 N_HINTS = 3
 
 _COSTS = {
@@ -151,7 +154,7 @@
         """Do all that is due for an account, and set its timer."""
         account.expire_loans(now)
         emissions = self._serve_held(account, now)
-        account.end_loans(now + RETURN_SECONDS)
+        account.end_loans(now)
         emissions += self._borrow(account, now)
         emissions += self._refuse_overdue(account, now)
         emissions += self._send_returns(account)
@@ -216,7 +219,8 @@
         if borrowing is not None:
             if now < borrowing.next_send_at:
                 return []
-            if borrowing.n_sent < N_REPEATS:
+            is_useful = now < borrowing.sent_at + borrowing.lifetime_seconds
+            if borrowing.n_sent < N_REPEATS and is_useful:
                 return [self._send_borrow(account, borrowing, now)]
             return self._give_up(account, borrowing, now)
         if now < account.next_borrow_at:
@@ -225,13 +229,16 @@
         owner = self._find_owner(account)
         if n_tokens <= 0 or owner is None:
             if n_tokens > 0:
-                account.n_unanswered += 1
-                account.next_borrow_at = now + NO_OWNER_SECONDS
+                self._note_no_owner(account, now)
             return []
+        is_for_stock = n_tokens > math.ceil(account.n_held_tokens)
         borrowing = Borrowing(
             borrow_id=self._random.make_id(),
             owner=owner,
             n_tokens=n_tokens,
+            lifetime_seconds=(
+                LOAN_LIFETIME_SECONDS if is_for_stock else SHORT_LIFETIME_SECONDS
+            ),
             sent_at=now,
             next_send_at=now,
             n_sent=0,
@@ -246,6 +253,7 @@
             borrow_id=borrowing.borrow_id,
             owner=borrowing.owner,
             n_tokens=borrowing.n_tokens,
+            lifetime_seconds=borrowing.lifetime_seconds,
             sent_at=borrowing.sent_at,
             next_send_at=now + REPEAT_SECONDS * 2**borrowing.n_sent,
             n_sent=borrowing.n_sent + 1,
@@ -257,6 +265,7 @@
             workspace=account.workspace,
             n_tokens=borrowing.n_tokens,
             returns=borrowing.returns,
+            lifetime_seconds=borrowing.lifetime_seconds,
         )
         return Emission("peers", PeerEnvelope(peer=borrowing.owner, message=request))
 
@@ -271,10 +280,15 @@
             )
             emissions.append(Emission("events", event))
         account.borrowing = None
-        account.is_bucket_empty = False
-        account.n_unanswered += 1
         self._hints.pop(account.shard, None)
-        return emissions + self._borrow(account, now)
+        self._note_no_owner(account, now)
+        return emissions
+
+    def _note_no_owner(self, account: Account, now: float) -> None:
+        pause = NO_OWNER_SECONDS * 2.0 ** min(account.n_unanswered, N_DOUBLINGS)
+        account.n_unanswered += 1
+        account.is_bucket_empty = False
+        account.next_borrow_at = now + pause
 
     def _find_owner(self, account: Account) -> str | None:
         hint = self._hints.get(account.shard)
@@ -291,9 +305,8 @@
         if borrowing.borrow_id != loan.borrow_id:
             return ()
         account.borrowing = None
-        expires_at = borrowing.sent_at + min(
-            loan.lifetime_seconds, LOAN_LIFETIME_SECONDS
-        )
+        lifetime = min(loan.lifetime_seconds, borrowing.lifetime_seconds)
+        expires_at = borrowing.sent_at + lifetime
         if loan.n_tokens > 0 and now < expires_at:
             account.add_loan(
                 LocalLoan(
@@ -302,6 +315,7 @@
                     epoch=loan.epoch,
                     n_tokens=loan.n_tokens,
                     expires_at=expires_at,
+                    return_at=borrowing.sent_at + lifetime * RETURN_FRACTION,
                 )
             )
         if loan.owner == peer:
@@ -326,9 +340,7 @@
             return
         self._hints.pop(account.shard, None)
         account.n_hints = 0
-        account.n_unanswered += 1
-        account.is_bucket_empty = False
-        account.next_borrow_at = now + NO_OWNER_SECONDS
+        self._note_no_owner(account, now)
 
     def _send_returns(self, account: Account) -> list[Emission]:
         return [
--- a/src/sardinemill/filters/ledger.py
+++ b/src/sardinemill/filters/ledger.py
@@ -1,5 +1,6 @@
 """Token bucket of one workspace, kept by the owner of its shard."""
 
+import heapq
 from dataclasses import dataclass, replace
 
 from ..limits import (
@@ -56,6 +57,7 @@
         self._updated_at = opened_at
         self._restricted_until = opened_at + stretch_wait(LOAN_LIFETIME_SECONDS)
         self._grants: dict[str, Grant] = {}
+        self._ends: list[tuple[float, str]] = []
         self._asked: dict[str, tuple[float, float]] = {}
 
     @property
@@ -87,7 +89,14 @@
         self._n_pledged = n_pledged
         self._clamp(now)
 
-    def lend(self, borrow_id: str, borrower: str, n_tokens: float, now: float) -> Grant:
+    def lend(
+        self,
+        borrow_id: str,
+        borrower: str,
+        n_tokens: float,
+        now: float,
+        lifetime_seconds: float = LOAN_LIFETIME_SECONDS,
+    ) -> Grant:
         """Grant tokens, fewer than asked for when the bucket is short.
 
         A repeat of a borrow id gets the same grant.
@@ -106,13 +115,14 @@
             retry_after = self._estimate_retry(n_tokens - granted, now)
         grant = Grant(
             n_tokens=granted,
-            ends_at=now + stretch_wait(LOAN_LIFETIME_SECONDS),
+            ends_at=now + stretch_wait(lifetime_seconds),
             retry_after_seconds=retry_after,
             is_open=granted > 0,
         )
         self._level -= granted
         self._outstanding += granted
         self._grants[borrow_id] = grant
+        heapq.heappush(self._ends, (grant.ends_at, borrow_id))
         return grant
 
     def settle(self, borrow_id: str, n_unspent: float, now: float) -> None:
@@ -128,14 +138,12 @@
 
     def update(self, now: float) -> None:
         """Add the tokens of the time that has passed and end expired loans."""
-        while self._grants:
-            borrow_id, first = next(iter(self._grants.items()))
-            if first.ends_at > now:
-                break
-            self._accrue(first.ends_at)
-            del self._grants[borrow_id]
-            if first.is_open:
-                self._outstanding -= first.n_tokens
+        while self._ends and self._ends[0][0] <= now:
+            ends_at, borrow_id = heapq.heappop(self._ends)
+            self._accrue(ends_at)
+            ended = self._grants.pop(borrow_id)
+            if ended.is_open:
+                self._outstanding -= ended.n_tokens
         if not any(grant.is_open for grant in self._grants.values()):
             # Keeps rounding errors of sums from adding up.
             self._outstanding = 0.0
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -156,7 +156,10 @@
             ledger = self._find_ledger(book, request.workspace, now)
         if book is None or ledger is None:
             return self._decline(request, shard)
-        grant = ledger.lend(request.borrow_id, request.borrower, request.n_tokens, now)
+        lifetime = min(request.lifetime_seconds, LOAN_LIFETIME_SECONDS)
+        grant = ledger.lend(
+            request.borrow_id, request.borrower, request.n_tokens, now, lifetime
+        )
         if grant.n_tokens < request.n_tokens:
             if book.pressed_until < now:
                 book.next_query_at = now
@@ -166,7 +169,7 @@
             workspace=request.workspace,
             epoch=book.lease.epoch,
             n_tokens=grant.n_tokens,
-            lifetime_seconds=LOAN_LIFETIME_SECONDS,
+            lifetime_seconds=lifetime,
             retry_after_seconds=grant.retry_after_seconds,
             owner=self._name,
         )
--- a/src/sardinemill/limits.py
+++ b/src/sardinemill/limits.py
@@ -11,6 +11,8 @@
 # Each clock runs within this fraction of true time.
 CLOCK_DRIFT = 0.01
 LOAN_LIFETIME_SECONDS = 1.0
+# Loans for waiting requests are spent on arrival, so they may end early.
+SHORT_LIFETIME_SECONDS = 0.25
 # Growth of a share waits until every instance has the new plan in force.
 PLAN_DELAY_SECONDS = 4.0
 
