--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -251,6 +251,8 @@
     """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
 
     :param returns: loans of this owner that ended early, spent or not.
+    :param lifetime_seconds: longest use of the loan; a short one frees its place in
+        the bucket without a return message.
     """
 
     borrow_id: str
@@ -258,6 +260,7 @@
     workspace: str
     n_tokens: float
     returns: "tuple[LoanReturn, ...]" = ()
+    lifetime_seconds: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -325,11 +328,13 @@
 
     :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
         answers once no pledge of it is open.
+    :param place: 0 for the first seat of the instance, 1 for a spare one.
     """
 
     seat: int | None
     valid_until: float
     is_closing: bool = False
+    place: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -337,6 +342,7 @@
     """The reserve of the seat is neither used nor pledged; it may be released."""
 
     seat: int
+    place: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
