--- a/src/sardinemill/filters/leasing.py
+++ b/src/sardinemill/filters/leasing.py
@@ -107,7 +107,8 @@
 
     def _finish_drain(self) -> list[Emission]:
         """Report that neither a shard nor the seat is held any more."""
-        if not self._is_draining or self._seating.seat is not None:
+        held = any(seating.seat is not None for seating in self._seatings)
+        if not self._is_draining or held:
             return []
         if any(lease.is_ours for lease in self._shards.values()):
             return []
