Hand a shard over without waiting for its loans

Cause: a drained owner released its shards only after its loans had ended, and the next one noticed at its next poll, so a planned stop refused requests for seconds.

The next owner starts within burst - lendable, so open loans of one predecessor are covered. An owner therefore confirms the close at once, but not before the loans of its own predecessor have ended, and tells its successor when the lease is free (ShardReleased). Borrowers ask the first candidate twice before they turn to the second.

The experiment announced a lost instance as live again when it announced the second one; the set of lost instances is now kept.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -25,7 +25,12 @@
 # Rate and burst of each workspace: a few are large.
 SIZES = (200.0, 200.0, 60.0, 60.0, 60.0, 20.0, 20.0, 20.0)
 LOADS = (0.5, 0.9, 1.0, 3.0)
-CONDITIONS = {"healthy": 30.0, "store down 60 s": 80.0, "owners killed": 40.0}
+CONDITIONS = {
+    "healthy": 30.0,
+    "store down 60 s": 80.0,
+    "owners killed": 40.0,
+    "owners drained": 40.0,
+}
 FAULT_AFTER_SECONDS = 5.0
 MEMBER_LOST_SECONDS = 3.0
 
@@ -150,7 +155,7 @@
 
 
 def start_fault(fleet: Fleet, cell: Cell) -> None:
-    """Take the store down for 60 s, or restart the owners of the large workspaces."""
+    """Take the store down, or kill or drain the owners of two large workspaces."""
     if cell.condition.startswith("store"):
         fleet.is_store_down = True
 
@@ -158,17 +163,28 @@
             fleet.is_store_down = False
 
         fleet.schedule(fleet.now + 60.0, recover)
-    elif cell.condition == "owners killed":
+    elif cell.condition.startswith("owners"):
         n_shards = LimitSettings().n_shards
         for number in range(2):
             shard = find_shard(f"workspace-{number}", n_shards)
             owner = fleet.find_owner(shard)
-            if owner in fleet.nodes:
-                fleet.kill_lending(owner)
-                fleet.schedule(
-                    fleet.now + MEMBER_LOST_SECONDS,
-                    lambda owner=owner: fleet.announce_members(without=owner),
-                )
+            if owner not in fleet.nodes:
+                continue
+            if cell.condition == "owners drained":
+                fleet.drain_node(owner)
+                announce_loss(fleet, owner)
+                continue
+            fleet.kill_lending(owner)
+            fleet.schedule(
+                fleet.now + MEMBER_LOST_SECONDS,
+                lambda owner=owner: announce_loss(fleet, owner),
+            )
+
+
+def announce_loss(fleet: Fleet, name: str) -> None:
+    """Take an instance out of the membership."""
+    fleet.not_live.add(name)
+    fleet.announce_members()
 
 
 def run_cell(cell: Cell) -> Result:
--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -23,6 +23,7 @@
     PeerEnvelope,
     ReservePledge,
     ReserveQuery,
+    ShardReleased,
     StoreCall,
     StoreFailure,
     StoreOperation,
@@ -46,6 +47,7 @@
     ReservePledge: "lending",
     Loan: "admission",
     ReserveQuery: "admission",
+    ShardReleased: "leasing",
 }
 
 
@@ -122,6 +124,8 @@
         self._n_events = 0
         self._objects: dict[str, tuple[int, bytes]] = {}
         self._cut_off: set[str] = set()
+        # Instances that membership no longer counts as live.
+        self.not_live: set[str] = set()
         # Instances that reach their peers but not the store.
         self.without_store: set[str] = set()
         for number in range(settings.n_instances):
@@ -213,7 +217,7 @@
                 front_address=_ADDRESS,
             )
             for name in self.nodes
-            if name != without
+            if name != without and name not in self.not_live
         )
         members = MembershipChanged(live=live, leaving=())
         for node in self.nodes.values():
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -25,6 +25,7 @@
         control.PrimaryChanged,
         control.ReservePledge,
         control.ReserveQuery,
+        control.ShardReleased,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -282,8 +282,7 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
-    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`
-        once its loans have ended.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`.
     """
 
     shard: int
@@ -296,7 +295,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardClosed:
-    """No loan of the shard is open, so its lease may be released."""
+    """Nothing more is lent of the shard, so its lease may be released."""
+
+    shard: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardReleased:
+    """Tells the next owner of a shard that its lease is free."""
 
     shard: int
     epoch: int
--- a/src/sardinemill/filters/account.py
+++ b/src/sardinemill/filters/account.py
@@ -85,7 +85,7 @@
         # No borrow before this time: the owner said when it has tokens again.
         self.next_borrow_at = float("-inf")
         self.is_bucket_empty = False
-        # Borrow requests in a row that nobody answered, and hints followed in a row.
+        # In a row: borrow requests that no owner answered, and hints followed.
         self.n_unanswered = 0
         self.n_hints = 0
         # Time of the account's entry in the timer queue.
--- a/src/sardinemill/filters/admission.py
+++ b/src/sardinemill/filters/admission.py
@@ -301,7 +301,12 @@
         if hint is not None and self._ranking.has(hint):
             return hint
         ranked = self._ranking.rank(account.shard)
-        return ranked[account.n_unanswered % len(ranked)] if ranked else None
+        if not ranked:
+            return None
+        # The first candidate may be about to take over; later both are asked in turn,
+        # since the second stands in for a first one without store.
+        n_failed = account.n_unanswered
+        return ranked[0 if n_failed < 2 else (n_failed + 1) % len(ranked)]
 
     def _take_loan(self, peer: str, loan: Loan, now: float) -> Sequence[Emission]:
         account = self._accounts.get(loan.workspace)
@@ -333,8 +338,7 @@
     def _note_owner_answer(
         self, account: Account, peer: str, borrowing: Borrowing, loan: Loan, now: float
     ) -> None:
-        account.n_unanswered = 0
-        account.n_hints = 0
+        account.n_unanswered = account.n_hints = 0
         self._hints[account.shard] = peer
         account.is_bucket_empty = loan.retry_after_seconds > 0
         account.next_borrow_at = now + loan.retry_after_seconds
--- a/src/sardinemill/filters/lease.py
+++ b/src/sardinemill/filters/lease.py
@@ -90,6 +90,7 @@
         self._must_read = True
         # First of the puts on the current version whose effect is unknown.
         self._unknown_put_at: float | None = None
+        self._is_outdated = False
         self._n_failures = 0
         self._next_at = NEVER
 
@@ -130,6 +131,13 @@
         if self._n_failures == 0:
             self._next_at = min(self._next_at, now)
 
+    def read_again(self, now: float) -> None:
+        """Act on news that the object changed."""
+        self._must_read = True
+        # The answer to an open read may be older than the news.
+        self._is_outdated = self._call is not None
+        self.hurry(now)
+
     def is_free(self, now: float) -> bool:
         """Tell whether the lease may be claimed."""
         return self._version is not None and now >= self._find_free_at()
@@ -168,6 +176,10 @@
             self._note_put(reply, now)
         else:
             self._note_object(reply, now)
+        if self._is_outdated:
+            self._is_outdated = False
+            self._must_read = True
+            self._next_at = now
 
     def _choose_call(self, now: float, may_claim: bool) -> StoreCall | None:
         if self._must_read or self._version is None:
--- a/src/sardinemill/filters/leasing.py
+++ b/src/sardinemill/filters/leasing.py
@@ -14,9 +14,11 @@
 from ..control import (
     DrainStarted,
     MembershipChanged,
+    PeerEnvelope,
     SeatClosed,
     ShardClosed,
     ShardLease,
+    ShardReleased,
     StoreReply,
 )
 from ..events import Event, EventName
@@ -48,7 +50,7 @@
     when the first does not claim it.
 
     Outlets: ``store``, ``lending`` for :class:`ShardLease`, ``admission`` for
-    :class:`SeatLease`, ``events``.
+    :class:`SeatLease`, ``peers`` for :class:`ShardReleased`, ``events``.
 
     :param name: this instance.
     """
@@ -98,6 +100,10 @@
                 emissions += self._take_reply(message, now)
             case ShardClosed():
                 self._release_shard(message, now)
+            case PeerEnvelope(message=ShardReleased(shard=shard)):
+                lease = self._shards.get(shard)
+                if lease is not None and not lease.is_ours:
+                    lease.read_again(now)
             case SeatClosed():
                 self._seatings[message.place].release(message.seat, now)
             case DrainStarted():
@@ -224,7 +230,13 @@
             self._want(lease, ranked.index(self._name), now)
         else:
             del self._shards[shard]
-        return [self._log(EventName.SHARD_RELEASED, shard=shard)]
+        emissions = [self._log(EventName.SHARD_RELEASED, shard=shard)]
+        successors = [name for name in ranked if name != self._name]
+        if successors:
+            released = ShardReleased(shard=shard, epoch=lease.epoch)
+            envelope = PeerEnvelope(peer=successors[0], message=released)
+            emissions.append(Emission("peers", envelope))
+        return emissions
 
     def _tell_lending(self, shard: int, lease: Lease) -> list[Emission]:
         owner = "" if lease.record is None else lease.record.owner
--- a/src/sardinemill/filters/ledger.py
+++ b/src/sardinemill/filters/ledger.py
@@ -75,12 +75,6 @@
         """Whether seats hold a part of the plan that they could pledge."""
         return self._seat_share.get(self._updated_at).burst > 0
 
-    @property
-    def last_end(self) -> float | None:
-        """When the last open loan ends, or ``None``."""
-        ends = [grant.ends_at for grant in self._grants.values() if grant.is_open]
-        return max(ends, default=None)
-
     def set_shares(self, share: Share, seat_share: Share, now: float) -> None:
         """Apply a change of plan."""
         self.update(now)
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -25,6 +25,7 @@
     share_of_owner,
     share_of_seat,
     shrink_wait,
+    stretch_wait,
 )
 from .ledger import Ledger
 
@@ -71,11 +72,14 @@
             for ledger in self.ledgers.values():
                 ledger.set_pledged(len(self.pledges), now)
 
-    def has_open_loans(self, now: float) -> bool:
-        """Tell whether a borrower may still spend tokens of this shard."""
-        for ledger in self.ledgers.values():
-            ledger.update(now)
-        return any(ledger.last_end is not None for ledger in self.ledgers.values())
+    @property
+    def closes_at(self) -> float:
+        """When the shard may be given away.
+
+        The next owner starts within ``burst - lendable``, so the loans of this one may
+        still be open. Those of the one before must have ended.
+        """
+        return self.lease.taken_at + stretch_wait(LOAN_LIFETIME_SECONDS)
 
 
 class Lending:
@@ -104,8 +108,7 @@
         times = []
         for book in self._books.values():
             if book.lease.is_closing:
-                ends = [ledger.last_end or 0.0 for ledger in book.ledgers.values()]
-                times.append(max(ends, default=0.0))
+                times.append(book.closes_at)
             elif book.next_query_at < book.pressed_until:
                 times.append(book.next_query_at)
         return min(times, default=None)
@@ -229,8 +232,7 @@
         return self._close_book(book, now) if lease.is_closing else ()
 
     def _close_book(self, book: ShardBook, now: float) -> Sequence[Emission]:
-        book.update_pledges(now)
-        if book.has_open_loans(now):
+        if now < book.closes_at:
             return ()
         del self._books[book.lease.shard]
         self._owners[book.lease.shard] = ""
