--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -26,6 +26,7 @@
         control.PrimaryOpinion,
         control.ReservePledge,
         control.ReserveQuery,
+        control.ShardReleased,
         control.VersionAnswer,
         control.VersionQuery,
     )
