Scale relays with the data centre and shorten what travels

One relay now serves 25 instances, with two as the minimum, so today's sizes are unchanged; query ids and part versions keep 48 random bits; the head passed between instances keeps 8 edits; parts aim at 16 KB.

Ruled out for now: passing changes on through instances that are not relays.

--- a/src/sardinemill/documents.py
+++ b/src/sardinemill/documents.py
@@ -19,9 +19,9 @@
 PROMOTIONS_PREFIX = "promotions/"
 # Values of the store's objects are limited to 1 MB.
 MAX_PART_BYTES = 1_000_000
-# A change sends each daemon the parts that it touches. At the target of 2,300 changes
-# a day, 64 KB a change are 1.7 KB/s of the 9 KB/s that a daemon has for control.
-TARGET_PART_BYTES = 64_000
+# A change sends each daemon the parts that it touches and the map of all parts. Smaller
+# parts make the map longer; 16 KB keep both similar for 10,000 keys.
+TARGET_PART_BYTES = 16_000
 MAX_PARTS = 256
 N_HISTORY = 64
 
--- a/src/sardinemill/edits.py
+++ b/src/sardinemill/edits.py
@@ -22,6 +22,8 @@
 
 KEY_PREFIX = "smk_"
 KEY_BYTES = 32
+# Part versions are in every head; 48 random bits tell editors of one version apart.
+EDIT_ID_LENGTH = 12
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -140,7 +142,7 @@
         raise InvalidConfiguration(faults, step="edit")
     encoded = encode_parts(configuration, codec, count_parts(base.head))
     _check_sizes(encoded)
-    part_version = f"{configuration.version}-{edit_id}"
+    part_version = f"{configuration.version}-{edit_id[:EDIT_ID_LENGTH]}"
     changed = {
         name: data for name, data in encoded.items() if base.encoded.get(name) != data
     }
--- a/src/sardinemill/filters/configuration_state.py
+++ b/src/sardinemill/filters/configuration_state.py
@@ -1,7 +1,7 @@
 """Configuration held by an instance, and the one that it is still assembling."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..configuration import EMPTY_CONFIGURATION, Configuration
 from ..documents import Document, DocumentCodec, Head, Part, join_parts
@@ -9,6 +9,9 @@
 
 # Larger changes travel in several answers, so that no message blocks a link for long.
 MAX_DOCUMENT_BYTES = 256_000
+# Edits in the head that travels between instances. An instance further behind gets
+# all parts.
+N_PASSED_EDITS = 8
 NEVER = float("-inf")
 
 
@@ -80,7 +83,8 @@
             return head.version
         if self._next is not None and self._next.head.version >= head.version:
             return head.version
-        assembly = _Assembly(head=head, head_bytes=head_bytes)
+        passed = replace(head, edits=head.edits[-N_PASSED_EDITS:])
+        assembly = _Assembly(head=head, head_bytes=self._codec.encode_head(passed))
         assembly.take_from(self._current)
         if self._next is not None:
             assembly.take_from(self._next)
--- a/src/sardinemill/filters/distribution.py
+++ b/src/sardinemill/filters/distribution.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import ceil
 
 from ..configuration import ConfigurationChanged, ConfigurationConfirmed
 from ..control import (
@@ -22,6 +23,9 @@
 from .store_watch import StoreWatch
 
 N_RELAYS = 2
+# In a large data centre one relay serves this many instances: at 620 daemons, two
+# relays each would carry 21 KB/s of the 9 KB/s that a daemon has for control.
+N_INSTANCES_PER_RELAY = 25
 PULL_SECONDS = 1.0
 # Pulls of many instances that started together spread out over time.
 PULL_JITTER = 0.1
@@ -30,11 +34,13 @@
 PULL_TIMEOUT_SECONDS = 0.5
 # Pulls come faster while no fresh confirmation arrives, so that evidence of an outage
 # is there before the confirmation limit of 4 s.
-URGENT_AGE_SECONDS = 2.2
+URGENT_AGE_SECONDS = 2.7
 URGENT_PULL_SECONDS = 0.5
 EXCHANGE_SECONDS = 0.5
 # An instance that hears of no other one by then acts as a relay.
 MEMBERSHIP_WAIT_SECONDS = 2.0
+# 48 random bits; an id is awaited for 4 s.
+QUERY_ID_LENGTH = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +60,12 @@
     names: dict[str, list[str]] = {}
     for instance in instances:
         names.setdefault(instance.data_centre, []).append(instance.name)
-    return {
-        data_centre: rank_candidates(f"relay/{data_centre}", members)[:N_RELAYS]
-        for data_centre, members in names.items()
-    }
+    relays = {}
+    for data_centre, members in names.items():
+        n_relays = max(N_RELAYS, ceil(len(members) / N_INSTANCES_PER_RELAY))
+        ranked = rank_candidates(f"relay/{data_centre}", members)
+        relays[data_centre] = ranked[:n_relays]
+    return relays
 
 
 class Distribution:
@@ -198,7 +206,7 @@
 
     def _ask(self, peer: str, now: float, lacking: tuple[str, ...] = ()) -> Emission:
         query = VersionQuery(
-            query_id=self._random.make_id(),
+            query_id=self._random.make_id()[:QUERY_ID_LENGTH],
             source=self._name,
             known_version=self._state.version,
             lacking=lacking,
@@ -267,34 +275,32 @@
 
     def _accept_answer(self, answer: VersionAnswer, now: float) -> list[Emission]:
         query = self._queries.pop(answer.query_id, None)
-        is_pull = False
-        if answer.query_id == self._pull_query and self._pull_at is not None:
-            self._n_unanswered = 0
-            self._pull_at = now + URGENT_PULL_SECONDS
-            is_pull = True
-        added = False
-        emissions: list[Emission] = []
+        n_lacking = len(self._state.lacking)
         try:
             if answer.document is not None:
-                added = self._state.add_document(answer.document)
+                self._state.add_document(answer.document)
             if query is not None:
                 at = query.sent_at - answer.confirmed_age_seconds
                 self._state.confirm(answer.version, at)
-            emissions += self._adopt(answer.source, now)
+            emissions = self._adopt(answer.source, now)
         except SardinemillError as error:
             return [self._reject(answer.source, error)]
-        if is_pull:
+        if query is None:
+            return emissions
+        self._take_evidence(answer, query, now)
+        if answer.query_id == self._pull_query and self._pull_at is not None:
+            self._n_unanswered = 0
             self._pull_at = now + self._choose_pause(now)
-        if query is not None:
-            self._take_evidence(answer, query, now)
-            if added and self._state.lacking:
-                lacking = self._state.lacking
-                emissions.append(self._ask(answer.source, now, lacking))
+        lacking = self._state.lacking
+        # Asks for the rest only after progress; otherwise the next pull does.
+        if lacking and len(lacking) != n_lacking:
+            emissions.append(self._ask(answer.source, now, lacking))
         return emissions
 
     def _choose_pause(self, now: float) -> float:
         jitter = 1 + PULL_JITTER * (2 * self._random.random() - 1)
-        is_urgent = now - self._state.confirmed_at > URGENT_AGE_SECONDS
+        proven_at = max(self._state.confirmed_at, self._outage_at or 0.0)
+        is_urgent = now - proven_at > URGENT_AGE_SECONDS
         return jitter * (URGENT_PULL_SECONDS if is_urgent else PULL_SECONDS)
 
     def _take_evidence(
