--- a/bench/failovers.py
+++ b/bench/failovers.py
@@ -103,7 +103,7 @@
     for process in deployment.instances.values():
         for line in process.log_path.read_text(encoding="utf-8").splitlines():
             event = json.loads(line)
-            name = EVENTS.get(event["event"])
+            name = EVENTS.get(event["name"])
             seconds = (event["wall_ns"] - killed_ns) / 1e9
             if name and event.get("group") == group and seconds > 0:
                 steps[name] = min(seconds, steps.get(name, seconds))
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -83,6 +83,7 @@
         urls=tuple(deployment.front_url(name) for name in deployment.instances),
         duration_seconds=LOAD_SECONDS,
         random_state=RANDOM_STATE,
+        name="surge" if is_surge else "steady",
     )
 
 
--- a/src/sardinemill/emulator/load.py
+++ b/src/sardinemill/emulator/load.py
@@ -49,6 +49,8 @@
 
     :param urls: entry instances, one chosen at random for each request.
     :param random_state: seed of arrivals and choices.
+    :param name: part of the session names; runs against the same tables need
+        different ones.
     :param with_idempotency_keys: whether writes carry a key and are repeated once
         when their outcome is unknown.
     """
@@ -57,6 +59,7 @@
     urls: tuple[str, ...]
     duration_seconds: float
     random_state: int
+    name: str = "run"
     request_timeout_seconds: float = 5.0
     with_idempotency_keys: bool = False
 
@@ -128,7 +131,7 @@
         async with aiohttp.ClientSession(connector=connector) as client:
             await self._create_tables(client)
             sessions = [
-                _Session(load, f"{load.workspace}-{number}")
+                _Session(load, f"{self._plan.name}-{load.workspace}-{number}")
                 for load in self._plan.workspaces
                 for number in range(load.n_sessions)
             ]
