Carry out operators' orders to drain an instance and to change a primary

Cause: the command line wrote orders that no instance read. Relays list them, the instance concerned deletes the object under the version it read and acts only on a confirmed deletion, so a restart does not repeat an order. Ruled out: a watch of each instance on its own order, 620 waiting calls; relays need 10 calls a second at 5 data centres.

--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -22,6 +22,7 @@
         control.InstanceList,
         control.Loan,
         control.LoanReturn,
+        control.OrderNotice,
         control.PrimaryChanged,
         control.PrimaryOpinion,
         control.ReservePledge,
--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -34,6 +34,7 @@
 from .filters.leasing import Leasing
 from .filters.lending import Lending
 from .filters.membership import Membership
+from .filters.orders import Orders
 from .filters.placement import Placement
 from .filters.queueing import (
     FirstInFirstOut,
@@ -88,6 +89,7 @@
 
     :param events: receives log events.
     :param make_peer_link: makes the link, given the receiver of envelopes.
+    :param stop: receives :class:`~sardinemill.control.DrainOrdered`.
     :param parts: adapters with a life cycle, started before everything else.
     """
 
@@ -97,6 +99,7 @@
     connector: UpstreamConnector
     events: Outlet
     make_peer_link: Callable[[Outlet], PeerLinkPart]
+    stop: Outlet
     parts: tuple[Part, ...] = ()
 
 
@@ -163,6 +166,7 @@
                 random=random,
             ),
             "membership": Membership(info, incarnation, random),
+            "orders": Orders(name, data_centre, random),
         }
         for step, decision in steps.items():
             self._stages[step] = Stage(
@@ -204,7 +208,7 @@
             ),
             **{
                 f"{step} store": StoreTask(edges.store, stages[step], edges.clock)
-                for step in ("distribution", "leasing", "membership")
+                for step in ("distribution", "leasing", "membership", "orders")
             },
         }
 
@@ -315,6 +319,7 @@
                     "admission",
                     "lending",
                     "leasing",
+                    "orders",
                 )
             )
         )
@@ -356,6 +361,15 @@
         self._bind(
             "failover", {"probe": self._prober, "primary": primary, "peers": link}
         )
+        self._bind(
+            "orders",
+            {
+                "store": self._store_task("orders"),
+                "peers": link,
+                "failover": stages["failover"],
+                "stop": self._edges.stop,
+            },
+        )
         self._bind("lending", {"peers": link, "leasing": stages["leasing"]})
         self._bind(
             "leasing",
@@ -395,6 +409,7 @@
             "admission": (control.Loan, control.ReserveQuery),
             "failover": (control.PrimaryChanged, control.PrimaryOpinion),
             "distribution": (control.VersionQuery, control.VersionAnswer),
+            "orders": (control.OrderNotice,),
             "membership": (control.Heartbeat, control.InstanceList),
         }
         return {kind: stages[step] for step, kinds in routes.items() for kind in kinds}
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -458,6 +458,31 @@
     instances: tuple[InstanceInfo, ...]
 
 
+# Orders of operators
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderNotice:
+    """Tells an instance that an order for it is in the store.
+
+    :param name: name of the store object.
+    """
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainOrdered:
+    """An operator asked this instance to drain and stop."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromotionOrdered:
+    """An operator asked for a new primary of a group."""
+
+    group: str
+
+
 # Calls to the platform's store
 
 
--- a/src/sardinemill/daemon.py
+++ b/src/sardinemill/daemon.py
@@ -20,6 +20,18 @@
 EXIT_BAD_SETTINGS = 2
 
 
+class StopOutlet:
+    """Stops the process when an operator orders a drain."""
+
+    def __init__(self, stopping: asyncio.Event) -> None:
+        self._stopping = stopping
+
+    def offer(self, message: object) -> bool:
+        """Take a :class:`~sardinemill.control.DrainOrdered`."""
+        self._stopping.set()
+        return True
+
+
 def keep_edges(edges: Edges, settings: Settings) -> Edges:
     """Use the adapters as they are."""
     return edges
@@ -45,6 +57,7 @@
             settings.name, address, sink, clock, random_source, events=journal
         )
 
+    stopping = asyncio.Event()
     edges = Edges(
         clock=clock,
         random_source=random_source,
@@ -52,10 +65,10 @@
         connector=connector,
         events=journal,
         make_peer_link=make_peer_link,
+        stop=StopOutlet(stopping),
         parts=(store, connector),
     )
     instance = Instance(settings, change_edges(edges, settings))
-    stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -33,6 +33,10 @@
     DRAIN_STARTED = EventKind(102, "info", "The instance takes no new work.")
     INSTANCE_STOPPED = EventKind(103, "info", "The instance has stopped.")
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
+    ORDER_TAKEN = EventKind(106, "info", "An operator's order is carried out.")
+    ORDER_DROPPED = EventKind(
+        107, "warning", "An order was not carried out; it may be given again."
+    )
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
     # 2xx requests: placement, scheduling and transactions
--- a/src/sardinemill/filters/failover.py
+++ b/src/sardinemill/filters/failover.py
@@ -15,6 +15,7 @@
     PrimaryChanged,
     PrimaryOpinion,
     PromoteAnswer,
+    PromotionOrdered,
     ReportQuery,
 )
 from ..events import Event, EventName
@@ -108,6 +109,10 @@
             return self._take_answer(message, now)
         elif isinstance(message, PrimaryChanged):
             return self._take_primary(message, now)
+        elif isinstance(message, PromotionOrdered):
+            control = self._groups.get(message.group)
+            if control is not None and control.election is None:
+                return self._start_election(control, "ordered", now)
         # Failed reports and orders need no action: detectors count the silence, and
         # orders without an answer are repeated by time.
         return ()
@@ -248,8 +253,9 @@
     ) -> list[Emission]:
         watch = control.watch
         avoided = set(watch.list_leaving())
-        if reason == "stalled" and watch.primary is not None:
+        if reason in ("stalled", "ordered") and watch.primary is not None:
             avoided.add(watch.primary.database)
+        if reason == "stalled":
             control.stall_allowed_at = now + STALL_SPACING_SECONDS
         watch.highest_term += 1
         election = Election(
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -118,6 +118,7 @@
         self.store = MemoryStore(clock=self.clock)
         self.hub = MemoryHub(self.clock, self.random)
         self.events = EventList()
+        self.stops = EventList()
         self.instances: dict[str, Instance] = {}
         for number in range(n_instances):
             self._add_instance(f"i{number}", DATA_CENTRES[number % 2])
@@ -137,6 +138,7 @@
             store=self.store,
             connector=self.connector,
             events=self.events,
+            stop=self.stops,
             make_peer_link=lambda sink: MemoryPeerLink(name, self.hub, sink),
         )
         self.instances[name] = Instance(settings, edges)
