--- a/src/sardinemill/filters/membership.py
+++ b/src/sardinemill/filters/membership.py
@@ -23,7 +23,7 @@
 from .heartbeats import HEARTBEAT_SECONDS, LISTED_ANNOUNCEMENT_SECONDS, Heartbeats
 from .instance_lists import InstanceLists
 from .monitors import MonitorTable
-from .suspicion import SILENCE_SECONDS, Suspicion
+from .suspicion import SILENCE_SECONDS, Sign, Suspicion
 from .suspicion_reports import ReportSchedule
 
 # An instance that the list does not hold is given up after this time as suspected, or
@@ -168,7 +168,19 @@
         elif known.heartbeat.incarnation != heartbeat.incarnation:
             # The new process may know nobody.
             self._greet(name, now)
-        yield from self._refresh(now)
+        if self._moves_view(known, heartbeat):
+            yield from self._refresh(now)
+
+    def _moves_view(self, known: Sign | None, heartbeat: Heartbeat) -> bool:
+        """Whether the instances in use may change; an update goes over all of them."""
+        name = heartbeat.source
+        last_state = InstanceState.LIVE if known is None else known.heartbeat.state
+        return (
+            name not in self._members
+            or name in self._suspicion.suspected
+            or heartbeat.state is not last_state
+            or name not in self._lists.entries
+        )
 
     def _greet(self, name: str, now: float) -> None:
         self._heartbeats.plan_greeting(name, now)
