--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -20,6 +20,8 @@
         control.ForwardedRequest,
         control.Heartbeat,
         control.InstanceList,
+        control.InstanceListChange,
+        control.InstanceListQuery,
         control.Loan,
         control.LoanReturn,
         control.OrderNotice,
@@ -28,6 +30,7 @@
         control.ReservePledge,
         control.ReserveQuery,
         control.ShardReleased,
+        control.SuspicionReport,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -412,7 +412,13 @@
             "distribution": (control.VersionQuery, control.VersionAnswer),
             "leasing": (control.ShardReleased,),
             "orders": (control.OrderNotice,),
-            "membership": (control.Heartbeat, control.InstanceList),
+            "membership": (
+                control.Heartbeat,
+                control.SuspicionReport,
+                control.InstanceList,
+                control.InstanceListChange,
+                control.InstanceListQuery,
+            ),
         }
         return {kind: stages[step] for step, kinds in routes.items() for kind in kinds}
 
