--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -183,3 +183,30 @@
         await other.stop()
 
     asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def test_idle_connections_close_and_first_messages_arrive_in_order():
+    """Guards against links that stay open unused, and against loss on first use."""
+
+    async def run():
+        link, _, info = await ZmqFleet().start_link(
+            "a", silence_seconds=0.3, idle_seconds=0.1
+        )
+        other, queue, other_info = await ZmqFleet().start_link("b")
+        other.set_peers([info])
+        link.set_peers([other_info])
+        assert link.n_connections == 0
+        for _ in range(2):
+            sent = [make_heartbeat("a", sequence) for sequence in range(200)]
+            for message in sent:
+                link.offer(PeerEnvelope(peer="b", message=message))
+            for message in sent:
+                received = await asyncio.wait_for(queue.get(), 5)
+                assert received.message == message
+            # An answer shows that the connection is not silent, only idle.
+            other.offer(PeerEnvelope(peer="a", message=make_heartbeat("b")))
+            await wait_until(lambda: link.n_connections == 0)
+        await link.stop()
+        await other.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
