--- a/src/sardinemill/filters/orders.py
+++ b/src/sardinemill/filters/orders.py
@@ -18,7 +18,7 @@
 from ..events import Event, EventName
 from ..groups import choose_homes
 from ..interfaces import Emission, RandomSource
-from .membership import choose_relays
+from .instance_lists import choose_relays
 
 # Two relays in each of 5 data centres list two prefixes: 10 store calls a second,
 # whatever the size of the fleet.
