Replace a primary that restarted, and distrust logs lost in a restart

A database that loses its log and term in a restart reports a term below that of its promotion. Such a report was taken for an old one, so a primary that restarted within the time-out of the detector stayed the known primary, and an election could count the empty database: the new test lost an acknowledged write with the former code and passes now.

A report asked for after the primary became known, or one of another incarnation, now ends its office. Elections fence databases that lost entries in a restart but count them for no majority until they have the entries back, unless no majority remains without them. A home that starts after the restart can't know of the loss; this remains.

Routing sends a request again that a busy upstream refused, a read elsewhere and a write after a delay, because neither ran.

The test of the 5 s target now counts only events after the fault and a write acknowledged by a later primary; before, events of the first election sufficed.

--- a/src/sardinemill/filters/election.py
+++ b/src/sardinemill/filters/election.py
@@ -39,6 +39,8 @@
 
     :param avoided: databases to promote only when no majority does without them, as a
         primary that is leaving or that cannot reach its replicas.
+    :param uncounted: databases that are fenced but count for no majority, because a
+        restart has cost them entries.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         orderer: str,
         *,
         avoided: Collection[str],
+        uncounted: Collection[str] = (),
         now: float,
     ) -> None:
         self.group = group
@@ -58,6 +61,7 @@
         self.highest_fenced_term = term
         self.positions: dict[str, LogPosition] = {}
         self._avoided = frozenset(avoided)
+        self._uncounted = frozenset(uncounted)
         self._refused: set[str] = set()
         self._deadline = now + FENCE_SECONDS
         self._choose_at = now + ORDER_RETRY_SECONDS
@@ -133,10 +137,11 @@
     def _choose(self, now: float) -> Sequence[Order]:
         if self.phase is not Phase.FENCING:
             return []
-        names = set(self.positions)
+        names = self.positions.keys() - self._uncounted
         preferred = names - self._avoided
         if not has_majority(self.group, preferred):
-            is_complete = len(names) + len(self._refused) == len(self.group.databases)
+            n_answers = len(self.positions) + len(self._refused)
+            is_complete = n_answers == len(self.group.databases)
             may_choose = not self._avoided or is_complete or now >= self._choose_at
             if not may_choose or not has_majority(self.group, names):
                 return []
--- a/src/sardinemill/filters/failover.py
+++ b/src/sardinemill/filters/failover.py
@@ -253,7 +253,12 @@
             control.stall_allowed_at = now + STALL_SPACING_SECONDS
         watch.highest_term += 1
         election = Election(
-            watch.group, watch.highest_term, self._orderer, avoided=avoided, now=now
+            watch.group,
+            watch.highest_term,
+            self._orderer,
+            avoided=avoided,
+            uncounted=watch.list_forgetful(),
+            now=now,
         )
         control.election = election
         suspect = "" if watch.primary is None else watch.primary.database
--- a/src/sardinemill/filters/held_requests.py
+++ b/src/sardinemill/filters/held_requests.py
@@ -99,7 +99,11 @@
 
 def is_upstream_failure(failure: Refusal) -> bool:
     """Tell whether another database or a later attempt may succeed."""
-    return failure.code in (RefusalCode.UPSTREAM, RefusalCode.NO_PRIMARY)
+    return failure.code in (
+        RefusalCode.UPSTREAM,
+        RefusalCode.NO_PRIMARY,
+        RefusalCode.OVERLOADED,
+    )
 
 
 def refuse(
--- a/src/sardinemill/filters/positions_table.py
+++ b/src/sardinemill/filters/positions_table.py
@@ -60,6 +60,25 @@
     return report.role is Role.PRIMARY and report.fenced_term == report.position.term
 
 
+def is_out_of_office(
+    report: DatabaseReport, primary: Primary, learned_at: float, incarnation: str
+) -> bool:
+    """Tell whether a report shows that the known primary is primary no more.
+
+    A primary that restarts may have lost its log, so another incarnation is not the
+    same primary even if it claims the same term.
+
+    :param learned_at: time at which the primary became known; an earlier question may
+        have been answered before the promotion.
+    :param incarnation: incarnation seen in office, or ``""``.
+    """
+    if report.database != primary.database:
+        return False
+    if is_active_primary(report) and report.fenced_term == primary.term:
+        return incarnation not in ("", report.incarnation)
+    return report.fenced_term >= primary.term or report.asked_at >= learned_at
+
+
 def derive_watermark(
     group: GroupDescription, reports: dict[str, DatabaseReport]
 ) -> Watermark | None:
@@ -117,6 +136,8 @@
         self.primary: Primary | None = None
         self._highest_term = 0
         self._invalid_since = float("-inf")
+        self._learned_at = float("-inf")
+        self._incarnation = ""
         self._states = {item.name: DatabaseState() for item in group.databases}
         self._watermarks: list[Watermark] = []
         self._primary_positions: list[LogPosition] = []
@@ -180,17 +201,17 @@
             return
         self._states[database] = replace(state, position=max(position, state.position))
         if is_primary and position.term > self._highest_term:
-            self._set_primary(Primary(database, position.term))
+            self._set_primary(Primary(database, position.term), now)
         self._measure(database, position, now)
 
-    def take_primary(self, news: PrimaryChanged) -> bool:
+    def take_primary(self, news: PrimaryChanged, now: float) -> bool:
         """Record news of a primary.
 
         :returns: whether its term is higher than all known ones.
         """
         if news.database not in self._states or news.term <= self._highest_term:
             return False
-        self._set_primary(Primary(news.database, news.term))
+        self._set_primary(Primary(news.database, news.term), now)
         return True
 
     def mark_superseded(self, database: str, term: int, now: float) -> None:
@@ -224,25 +245,32 @@
         return max(0.0, written_at + state.lag_seconds - now)
 
     def _learn_role(self, report: DatabaseReport) -> None:
-        if is_active_primary(report):
-            is_restored = (
-                self.primary is None
-                and report.fenced_term == self._highest_term
-                and report.asked_at >= self._invalid_since
-            )
-            if report.fenced_term > self._highest_term or is_restored:
-                self._set_primary(Primary(report.database, report.fenced_term))
-        elif (
-            self.primary is not None
-            and self.primary.database == report.database
-            and report.fenced_term >= self.primary.term
+        known = self.primary
+        if known is not None and is_out_of_office(
+            report, known, self._learned_at, self._incarnation
         ):
             self.primary = None
             self._invalid_since = report.asked_at
-
-    def _set_primary(self, primary: Primary) -> None:
+        if not is_active_primary(report):
+            return
+        is_restored = (
+            self.primary is None
+            and report.fenced_term == self._highest_term
+            and report.asked_at >= self._invalid_since
+            and self._incarnation in ("", report.incarnation)
+        )
+        if report.fenced_term > self._highest_term or is_restored:
+            primary = Primary(report.database, report.fenced_term)
+            self._set_primary(primary, report.received_at)
+        if self.primary == Primary(report.database, report.fenced_term):
+            self._incarnation = report.incarnation
+
+    def _set_primary(self, primary: Primary, now: float) -> None:
+        if primary.term > self._highest_term:
+            self._incarnation = ""
         self.primary = primary
         self._highest_term = primary.term
+        self._learned_at = now
 
     def _extend_watermarks(self) -> Watermark | None:
         reports = {
--- a/src/sardinemill/filters/primary_watch.py
+++ b/src/sardinemill/filters/primary_watch.py
@@ -2,8 +2,9 @@
 
 from ..control import DatabaseReport
 from ..groups import GroupDescription, has_majority
+from ..positions import LogPosition
 from .detection import FailureDetector
-from .positions_table import Primary, is_active_primary
+from .positions_table import Primary, is_active_primary, is_out_of_office
 
 # A report counts as recent for three probe intervals.
 RECENT_SECONDS = 0.75
@@ -29,6 +30,10 @@
         self.highest_term = 0
         self._detector = detector
         self._primary_term = 0
+        self._learned_at = now
+        self._incarnation = ""
+        # Positions before a restart after which the log was shorter.
+        self._lost: dict[str, LogPosition] = {}
         self._reports: dict[str, DatabaseReport] = {}
         self._without_primary_since = now
         self._superseded_since: float | None = None
@@ -48,6 +53,7 @@
         self.highest_term = max(self.highest_term, term)
         if previous is not None and previous.position != report.position:
             self._record_progress(report)
+        self._record_loss(previous, report)
         is_new = self._learn(report)
         self._check_superseded(report.received_at)
         return is_new
@@ -62,6 +68,8 @@
             return False
         self.primary = primary
         self._primary_term = primary.term
+        self._learned_at = now
+        self._incarnation = ""
         self._superseded_since = None
         self.restart(now)
         return True
@@ -107,21 +115,41 @@
             if now - report.received_at <= RECENT_SECONDS
         ]
 
+    def list_forgetful(self) -> list[str]:
+        """Databases that lost entries in a restart and don't have them back.
+
+        Their answer to a fence proves nothing about what they held, unless so many
+        have lost their logs that no majority remains without them.
+        """
+        names = {item.name for item in self.group.databases}
+        can_do_without = has_majority(self.group, names - self._lost.keys())
+        return list(self._lost) if can_do_without else []
+
     def _learn(self, report: DatabaseReport) -> bool:
-        if is_active_primary(report):
-            primary = Primary(report.database, report.fenced_term)
-            if self.take_primary(primary, report.received_at):
-                return True
-            if self.primary is None and primary.term == self._primary_term:
-                self.primary = primary
-        elif (
-            self.primary is not None
-            and self.primary.database == report.database
-            and report.fenced_term >= self.primary.term
+        if self.primary is not None and is_out_of_office(
+            report, self.primary, self._learned_at, self._incarnation
         ):
             self.primary = None
             self._without_primary_since = report.received_at
-        return False
+        if not is_active_primary(report):
+            return False
+        claimed = Primary(report.database, report.fenced_term)
+        is_new = self.take_primary(claimed, report.received_at)
+        is_known = claimed.term == self._primary_term
+        if is_known and self._incarnation in ("", report.incarnation):
+            self.primary = claimed
+            self._incarnation = report.incarnation
+        return is_new
+
+    def _record_loss(
+        self, previous: DatabaseReport | None, report: DatabaseReport
+    ) -> None:
+        name = report.database
+        if previous is not None and previous.incarnation != report.incarnation:
+            lost = max(previous.position, self._lost.get(name, previous.position))
+            self._lost[name] = lost
+        if name in self._lost and report.position >= self._lost[name]:
+            del self._lost[name]
 
     def _check_superseded(self, now: float) -> None:
         term = self._primary_term
--- a/src/sardinemill/filters/routing.py
+++ b/src/sardinemill/filters/routing.py
@@ -284,7 +284,7 @@
                 return [Emission("executed", execution)]
         elif not is_upstream_failure(failure):
             return [Emission("executed", execution)]
-        else:
+        elif failure.code is not RefusalCode.OVERLOADED:
             state.table.mark_failed(routed.database, now)
         if routed.n_attempts + 1 >= N_READ_ATTEMPTS:
             return [give_up(execution)]
@@ -301,8 +301,10 @@
             or not is_upstream_failure(failure)
         ):
             return [Emission("executed", execution)]
-        state.table.mark_superseded(routed.database, routed.expected_term, now)
         not_before = now + compute_retry_delay(routed.n_attempts)
+        if failure.code is RefusalCode.OVERLOADED:
+            return self._hold_again(state, routed, now, not_before=not_before)
+        state.table.mark_superseded(routed.database, routed.expected_term, now)
         queries: list[Emission] = []
         if now - state.asked_all_at >= ASK_SPACING_SECONDS:
             state.asked_all_at = now
@@ -362,7 +364,7 @@
 
     def _take_primary(self, news: PrimaryChanged, now: float) -> list[Emission]:
         state = self._groups.get(news.group)
-        if state is None or not state.table.take_primary(news):
+        if state is None or not state.table.take_primary(news, now):
             return []
         return self._try_all(state, now)
 
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -137,10 +137,12 @@
             n_common += 1
         replica.log = self.log[: n_common + n_entries]
 
-    def restart(self) -> None:
+    def restart(self, loses_log: bool = False) -> None:
         self.is_up = True
         self.role = Role.REPLICA
         self.n_starts += 1
+        if loses_log:
+            self.log, self.fenced_term, self.orderer = [], 0, ""
 
 
 @dataclass
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -22,6 +22,14 @@
     "accrual": AccrualDetector,
 }
 STEP_SECONDS = 0.6
+STEPS = {
+    "PRIMARY_SUSPECTED",
+    "FENCE_STARTED",
+    "FENCE_COMPLETED",
+    "PRIMARY_CHOSEN",
+    "PRIMARY_PROMOTED",
+    "PRIMARY_LEARNED",
+}
 FAULTS = st.tuples(
     st.sampled_from(
         [
@@ -191,19 +199,29 @@
     model.check_end()
 
 
-def find_gap(fault, detector: str) -> tuple[float, World]:
-    """Return the time from a fault to the next acknowledged write at any home."""
+def find_gap(fault, detector: str) -> tuple[float, set[str]]:
+    """Return the time from a fault to the first write that a later primary
+    acknowledged, and the names of the events since the fault.
+    """
     world = World(1, DETECTORS[detector], has_chaos=False)
     model = Model(world)
     world.run(6.0)
     run_load(model, random.Random(1), 1.0)
-    primary = world.databases[max(world.primaries.items())[1]]
+    term, name = max(world.primaries.items())
     began_at = world.now
-    fault(world, primary)
-    n_before = len(model.acknowledged)
-    while len(model.acknowledged) == n_before and world.now < began_at + 20:
+    fault(world, world.databases[name])
+    while world.now < began_at + 20:
         run_load(model, random.Random(2), 0.1)
-    return min(list(model.acknowledged.values())[n_before:]) - began_at, world
+        if max(token.term for token in model.tokens) > term:
+            break
+    times = [
+        at
+        for at, reply in world.replies.values()
+        if isinstance(reply, Answer) and reply.session
+        if reply.session.position.term > term
+    ]
+    names = {event.name.name for at, _, event in world.events if at > began_at}
+    return min(times) - began_at, names
 
 
 def crash(world: World, primary: FakeDatabase) -> None:
@@ -224,17 +242,9 @@
     """
     for detector in DETECTORS:
         for fault in (crash, cut_replication, leave):
-            gap, world = find_gap(fault, detector)
+            gap, names = find_gap(fault, detector)
             assert gap < 5.0, (detector, fault.__name__, gap)
-            names = {event.name.name for _, _, event in world.events}
-            assert {
-                "PRIMARY_SUSPECTED",
-                "FENCE_STARTED",
-                "FENCE_COMPLETED",
-                "PRIMARY_CHOSEN",
-                "PRIMARY_PROMOTED",
-                "PRIMARY_LEARNED",
-            } <= names
+            assert names == STEPS
 
 
 def test_reads_are_fresh_while_a_replica_is_cut_off():
@@ -260,6 +270,30 @@
         assert n_replica_reads > 20
 
 
+def test_primary_that_restarts_empty_is_replaced():
+    """Guards against a group that waits for its old primary for ever, and against an
+    election that counts a database whose log a restart has cost, while the only other
+    answer comes from a replica that lags.
+    """
+    for seed in range(6):
+        world = World(seed, TimeoutDetector, has_chaos=seed % 2 == 0)
+        model = Model(world)
+        source = random.Random(seed)
+        run_load(model, source, 3.0)
+        primary = max(world.primaries.items())[1]
+        replicas = [name for name in DATABASES if name != primary]
+        world.cuts.add(frozenset((primary, replicas[seed % 2])))
+        run_load(model, source, 1.0)
+        world.databases[primary].restart(loses_log=True)
+        world.cuts |= {frozenset((home, replicas[1 - seed % 2])) for home in HOMES}
+        run_load(model, source, 3.0)
+        heal(world)
+        run_load(model, source, 6.0)
+        model.check_end()
+        assert max(world.primaries) > 1
+        assert max(model.acknowledged.values()) > world.now - 1.0
+
+
 def order_fences(election: Election, names: tuple[str, ...], world: World) -> list:
     """Carry an election's fences to some databases; return its next orders."""
     orders = [
