--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -179,6 +179,7 @@
 
     :param sequence: counts up from 1 in one process.
     :param configuration_version: version in force at the sender.
+    :param info: the sender itself, for receivers whose list does not hold it yet.
     """
 
     source: str
@@ -186,6 +187,7 @@
     sequence: int
     state: InstanceState
     configuration_version: int
+    info: InstanceInfo | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,10 +196,13 @@
 
     :param live: take new work.
     :param leaving: finish work, take none.
+    :param candidates: all instances that the peer link keeps a connection to, also
+        the suspected ones, so that they are heard when they come back.
     """
 
     live: tuple[InstanceInfo, ...]
     leaving: tuple[InstanceInfo, ...]
+    candidates: tuple[InstanceInfo, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -243,12 +248,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BorrowRequest:
-    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``."""
+    """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
+
+    :param returns: loans of this owner that ended early, spent or not.
+    :param lifetime_seconds: longest use of the loan; a short one frees its place in
+        the bucket without a return message.
+    """
 
     borrow_id: str
     borrower: str
     workspace: str
     n_tokens: float
+    returns: "tuple[LoanReturn, ...]" = ()
+    lifetime_seconds: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -258,7 +270,8 @@
     :param n_tokens: granted tokens; 0 when the bucket is empty or the sender does not
         own the shard.
     :param lifetime_seconds: counted by the borrower from when it sent the request.
-    :param retry_after_seconds: when the bucket holds tokens again.
+    :param retry_after_seconds: when the bucket holds tokens again; 0 with a short
+        grant means that reports of spent loans make room for more at once.
     :param owner: instance that the sender believes to be the owner.
     """
 
@@ -273,7 +286,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoanReturn:
-    """Unspent tokens of a loan that has not ended yet."""
+    """Unspent tokens of a loan that has not ended yet; 0 when all were spent."""
 
     borrow_id: str
     borrower: str
@@ -289,6 +302,7 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`.
     """
 
     shard: int
@@ -296,14 +310,76 @@
     epoch: int
     valid_until: float
     taken_at: float
+    is_closing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardClosed:
+    """Nothing more is lent of the shard, so its lease may be released."""
+
+    shard: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardReleased:
+    """Tells the next owner of a shard that its lease is free."""
+
+    shard: int
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeatLease:
-    """Seat of this instance; ``None`` as seat means that it holds none."""
+    """Seat of this instance; ``None`` as seat means that it holds none.
+
+    :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
+        answers once no pledge of it is open.
+    :param place: 0 for the first seat of the instance, 1 for a spare one.
+    """
 
     seat: int | None
     valid_until: float
+    is_closing: bool = False
+    place: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeatClosed:
+    """The reserve of the seat is neither used nor pledged; it may be released."""
+
+    seat: int
+    place: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReserveQuery:
+    """A shard's owner asks instances to pledge their reserves to it.
+
+    :param asked_at: seconds on the owner's clock, echoed by the answer.
+    :param term_seconds: how long the reserves shall stay unused, from receipt.
+    """
+
+    shard: int
+    epoch: int
+    asked_at: float
+    term_seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservePledge:
+    """Promise not to use the reserve of a seat for the workspaces of a shard.
+
+    :param term_seconds: counted by the instance from receipt of the question; the
+        owner counts it from when it asked.
+    """
+
+    shard: int
+    epoch: int
+    instance: str
+    seat: int
+    asked_at: float
+    term_seconds: float
 
 
 # Configuration
@@ -311,11 +387,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VersionQuery:
-    """Asks a relay for its configuration version; ``query_id`` matches the answer."""
+    """Asks a relay for its configuration version; ``query_id`` matches the answer.
+
+    :param lacking: parts that the last answer left out for their size.
+    """
 
     query_id: str
     source: str
     known_version: int
+    lacking: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -324,9 +404,12 @@
 
     :param confirmed_age_seconds: time since the version was last confirmed against the
         store, at the time of the answer.
-    :param store_unreachable_seconds: how long the relay's store calls have failed; 0
-        while they succeed.
+    :param store_unreachable_seconds: time since the first of the relay's failing store
+        calls was made; 0 while they succeed.
+    :param store_failure_age_seconds: time since the last of them failed.
     :param document: encoded configuration when the asker's version is older.
+    :param outage_age_seconds: age of the evidence that no data centre reaches the
+        store, or ``None`` without such evidence.
     """
 
     query_id: str
@@ -336,6 +419,8 @@
     confirmed_age_seconds: float
     store_unreachable_seconds: float
     document: bytes | None = field(default=None, repr=False)
+    outage_age_seconds: float | None = None
+    store_failure_age_seconds: float = 0.0
 
 
 # Home side
@@ -359,6 +444,13 @@
     """This instance was asked to stop; it takes no new work from now on."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainFinished:
+    """A step has no work left after :class:`DrainStarted`; may be repeated."""
+
+    step: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceList:
     """Platform's list of instances, passed on inside a data centre."""
@@ -366,6 +458,31 @@
     instances: tuple[InstanceInfo, ...]
 
 
+# Orders of operators
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderNotice:
+    """Tells an instance that an order for it is in the store.
+
+    :param name: name of the store object.
+    """
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainOrdered:
+    """An operator asked this instance to drain and stop."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromotionOrdered:
+    """An operator asked for a new primary of a group."""
+
+    group: str
+
+
 # Calls to the platform's store
 
 
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -24,7 +24,8 @@
 
 class EventName(Enum):
     """All events, by hundreds: 1 life cycle, 2 requests, 3 databases and failover,
-    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store.
+    4 rate limits, 5 configuration and keys, 6 membership and peers, 7 store,
+    8 stand-ins.
     """
 
     # 1xx life cycle
@@ -32,8 +33,18 @@
     DRAIN_STARTED = EventKind(102, "info", "The instance takes no new work.")
     INSTANCE_STOPPED = EventKind(103, "info", "The instance has stopped.")
     OUTLET_UNBOUND = EventKind(104, "error", "A message had no receiver.")
+    ORDER_TAKEN = EventKind(106, "info", "An operator's order is carried out.")
+    ORDER_DROPPED = EventKind(
+        107, "warning", "An order was not carried out; it may be given again."
+    )
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
+    # 2xx requests: placement, scheduling and transactions
+    REQUEST_MOVED = EventKind(221, "info", "A request went on to another home.")
+    OUTCOME_UNKNOWN = EventKind(222, "warning", "A write got no answer; unknown.")
+    TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
+    TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
+
     # 3xx databases and failover
     PRIMARY_SUSPECTED = EventKind(
         301, "warning", "Detect: a group's primary is suspected, or there is none."
@@ -49,6 +60,68 @@
         307, "warning", "An attempt at failover ended without a new primary."
     )
 
+    # 4xx rate limits
+    SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
+    SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
+    SHARD_RELEASED = EventKind(403, "info", "The instance gave a shard away.")
+    SEAT_TAKEN = EventKind(404, "info", "The instance holds a seat with a reserve.")
+    SEAT_LOST = EventKind(405, "warning", "The seat's lease ended unplanned.")
+    SEAT_RELEASED = EventKind(406, "info", "The instance gave its seat back.")
+    LEASE_RECORD_INVALID = EventKind(407, "error", "A lease object is not readable.")
+    OWNER_UNREACHABLE = EventKind(
+        408, "warning", "Requests were refused because no shard owner answered."
+    )
+
+    # 5xx configuration and keys
+    CONFIGURATION_ADOPTED = EventKind(
+        501, "info", "A higher configuration version is in force at this instance."
+    )
+    CONFIGURATION_REJECTED = EventKind(
+        502, "error", "A configuration document is malformed; the old one stays."
+    )
+    RELAY_STARTED = EventKind(
+        503, "info", "The instance watches the configuration in the store."
+    )
+    RELAY_STOPPED = EventKind(
+        504, "info", "The instance pulls the configuration from a relay."
+    )
+    STORE_CALLS_FAILED = EventKind(
+        505, "warning", "The relay's store calls began to fail."
+    )
+    STORE_CALLS_RECOVERED = EventKind(
+        506, "info", "The relay's store calls succeed again."
+    )
+    OUTAGE_CONFIRMED = EventKind(
+        507, "warning", "Relays of every data centre report the store unreachable."
+    )
+    OUTAGE_ENDED = EventKind(
+        508, "info", "The store is no longer known to be unreachable everywhere."
+    )
+    CONFIGURATION_STALE = EventKind(
+        509, "warning", "The configuration has not been confirmed within the limit."
+    )
+
+    # 6xx membership and peers
+    INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
+    INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
+    INSTANCE_LIST_FAILED = EventKind(
+        603, "warning", "The platform's list of instances could not be read."
+    )
+    PEER_MESSAGE_DROPPED = EventKind(
+        604, "warning", "A peer message was malformed, foreign or met a full queue."
+    )
+    PEER_LINK_REPLACED = EventKind(
+        605, "info", "The socket to a silent peer was replaced."
+    )
+
+    # 8xx stand-ins
+    STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
+    STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
+    FAULTS_CHANGED = EventKind(803, "info", "The faults of a stand-in were changed.")
+    DATABASE_ROLE_CHANGED = EventKind(
+        804, "info", "A database stand-in changed its role or term."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
