--- a/src/sardinemill/filters/detection.py
+++ b/src/sardinemill/filters/detection.py
@@ -197,12 +197,3 @@
         for database in databases:
             if database in self._heard_at:
                 self._heard_at[database] = now
-
-
-def make_default_detector() -> FailureDetector:
-    """Make the detector that ``bench.detectors`` favours.
-
-    It has the fewest false failovers there, for a gap that is longer by the time to
-    hear the other homes.
-    """
-    return ObserverDetector(TimeoutDetector())
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import (
@@ -311,7 +311,9 @@
                 answers.append(message)
                 if isinstance(message, DatabaseReport):
                     self.deliver(
-                        home, home.filters, _stamp(message, asked_at, self.now)
+                        home,
+                        home.filters,
+                        replace(message, asked_at=asked_at, received_at=self.now),
                     )
                 else:
                     self.deliver(home, [home.failover], message)
@@ -494,8 +496,3 @@
         outcome=outcome,
         step="execution",
     )
-
-
-def _stamp(report: DatabaseReport, asked_at: float, now: float) -> DatabaseReport:
-    fields = {name: getattr(report, name) for name in report.__dataclass_fields__}
-    return DatabaseReport(**{**fields, "asked_at": asked_at, "received_at": now})
