--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import (
@@ -137,10 +137,12 @@
             n_common += 1
         replica.log = self.log[: n_common + n_entries]
 
-    def restart(self) -> None:
+    def restart(self, loses_log: bool = False) -> None:
         self.is_up = True
         self.role = Role.REPLICA
         self.n_starts += 1
+        if loses_log:
+            self.log, self.fenced_term, self.orderer = [], 0, ""
 
 
 @dataclass
@@ -309,7 +311,9 @@
                 answers.append(message)
                 if isinstance(message, DatabaseReport):
                     self.deliver(
-                        home, home.filters, _stamp(message, asked_at, self.now)
+                        home,
+                        home.filters,
+                        replace(message, asked_at=asked_at, received_at=self.now),
                     )
                 else:
                     self.deliver(home, [home.failover], message)
@@ -465,6 +469,26 @@
     )
 
 
+def make_report(
+    database: str, term: int, offset: int, fenced_term: int, **fields: object
+) -> DatabaseReport:
+    """Make a report of a replica unless ``role`` says otherwise."""
+    defaults = {"role": Role.REPLICA, "incarnation": "1"}
+    return DatabaseReport(
+        group=GROUP.name,
+        database=database,
+        position=LogPosition(term, offset),
+        fenced_term=fenced_term,
+        **{**defaults, **fields},
+    )
+
+
+def make_execution(routed: RoutedRequest, **fields: object) -> Execution:
+    """Make a successful execution; the fields are those of the result."""
+    result = UpstreamResult(call_id=routed.request.request_id, **fields)
+    return Execution(routed=routed, result=result, failure=None, service_seconds=0.0)
+
+
 def _fail(routed: RoutedRequest, outcome: Outcome) -> Refusal:
     return Refusal(
         request_id=routed.request.request_id,
@@ -472,8 +496,3 @@
         outcome=outcome,
         step="execution",
     )
-
-
-def _stamp(report: DatabaseReport, asked_at: float, now: float) -> DatabaseReport:
-    fields = {name: getattr(report, name) for name in report.__dataclass_fields__}
-    return DatabaseReport(**{**fields, "asked_at": asked_at, "received_at": now})
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -5,15 +5,16 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from replication_world import DATABASES, HOMES, FakeDatabase, World
+from replication_world import DATABASES, GROUP, HOMES, FakeDatabase, World
 from sardinemill.errors import Outcome
 from sardinemill.filters.detection import (
     AccrualDetector,
     ObserverDetector,
     TimeoutDetector,
 )
+from sardinemill.filters.election import Election
 from sardinemill.messages import Answer, Refusal, Reply, StatementKind
-from sardinemill.positions import ORIGIN, LogPosition
+from sardinemill.positions import ORIGIN
 
 DETECTORS = {
     "timeout": TimeoutDetector,
@@ -21,6 +22,14 @@
     "accrual": AccrualDetector,
 }
 STEP_SECONDS = 0.6
+STEPS = {
+    "PRIMARY_SUSPECTED",
+    "FENCE_STARTED",
+    "FENCE_COMPLETED",
+    "PRIMARY_CHOSEN",
+    "PRIMARY_PROMOTED",
+    "PRIMARY_LEARNED",
+}
 FAULTS = st.tuples(
     st.sampled_from(
         [
@@ -190,19 +199,29 @@
     model.check_end()
 
 
-def find_gap(fault, detector: str) -> tuple[float, World]:
-    """Return the time from a fault to the next acknowledged write at any home."""
+def find_gap(fault, detector: str) -> tuple[float, set[str]]:
+    """Return the time from a fault to the first write that a later primary
+    acknowledged, and the names of the events since the fault.
+    """
     world = World(1, DETECTORS[detector], has_chaos=False)
     model = Model(world)
     world.run(6.0)
     run_load(model, random.Random(1), 1.0)
-    primary = world.databases[max(world.primaries.items())[1]]
+    term, name = max(world.primaries.items())
     began_at = world.now
-    fault(world, primary)
-    n_before = len(model.acknowledged)
-    while len(model.acknowledged) == n_before and world.now < began_at + 20:
+    fault(world, world.databases[name])
+    while world.now < began_at + 20:
         run_load(model, random.Random(2), 0.1)
-    return min(list(model.acknowledged.values())[n_before:]) - began_at, world
+        if max(token.term for token in model.tokens) > term:
+            break
+    times = [
+        at
+        for at, reply in world.replies.values()
+        if isinstance(reply, Answer) and reply.session
+        if reply.session.position.term > term
+    ]
+    names = {event.name.name for at, _, event in world.events if at > began_at}
+    return min(times) - began_at, names
 
 
 def crash(world: World, primary: FakeDatabase) -> None:
@@ -223,40 +242,85 @@
     """
     for detector in DETECTORS:
         for fault in (crash, cut_replication, leave):
-            gap, world = find_gap(fault, detector)
+            gap, names = find_gap(fault, detector)
             assert gap < 5.0, (detector, fault.__name__, gap)
-            names = {event.name.name for _, _, event in world.events}
-            assert {
-                "PRIMARY_SUSPECTED",
-                "FENCE_STARTED",
-                "FENCE_COMPLETED",
-                "PRIMARY_CHOSEN",
-                "PRIMARY_PROMOTED",
-                "PRIMARY_LEARNED",
-            } <= names
-
-
-def test_stale_promotion_is_refused_after_a_higher_fence():
-    """Guards against an orderer that was paused between choosing and promoting and
-    that makes a superseded database primary.
+            assert names == STEPS
+
+
+def test_reads_are_fresh_while_a_replica_is_cut_off():
+    """Guards against a watermark that is older than the read accepts, and against a
+    read that ignores the session's token: a cut-off replica looks usable for a while.
     """
-    world = World(3, TimeoutDetector, has_chaos=False)
-    model = Model(world)
-    world.run(4.0)
-    old = world.databases[max(world.primaries.items())[1]]
-    first = world.homes["home0"]
-    cuts = {frozenset(("home0", name)) for name in DATABASES if name != old.name}
-    old.is_up = False
-    world.run(1.45)
-    world.pause(first, 3.0)
-    world.cuts |= cuts
-    world.run(6.0)
-    heal(world)
-    world.run(6.0)
-    model.check_end()
-    assert len({max(world.primaries)}) == 1
-    request_id = model.write("home0", 0)
-    world.run(3.0)
-    assert isinstance(world.replies[request_id][1], Answer)
-    position = world.replies[request_id][1].session.position
-    assert position > LogPosition(min(world.primaries), 0)
+    for seed in range(8):
+        world = World(seed, TimeoutDetector, n_replicated=(1, 1000)[seed % 2])
+        model = Model(world)
+        source = random.Random(seed)
+        run_load(model, source, 2.0)
+        for _ in range(3):
+            primary = max(world.primaries.items())[1]
+            replica = source.choice([name for name in DATABASES if name != primary])
+            cut_replication(world, world.databases[replica])
+            run_load(model, source, 0.5)
+            heal(world)
+            run_load(model, source, 0.3)
+        n_replica_reads = sum(
+            isinstance(reply, Answer) and reply.from_replica
+            for _, reply in world.replies.values()
+        )
+        assert n_replica_reads > 20
+
+
+def test_primary_that_restarts_empty_is_replaced():
+    """Guards against a group that waits for its old primary for ever, and against an
+    election that counts a database whose log a restart has cost, while the only other
+    answer comes from a replica that lags.
+    """
+    for seed in range(6):
+        world = World(seed, TimeoutDetector, has_chaos=seed % 2 == 0)
+        model = Model(world)
+        source = random.Random(seed)
+        run_load(model, source, 3.0)
+        primary = max(world.primaries.items())[1]
+        replicas = [name for name in DATABASES if name != primary]
+        world.cuts.add(frozenset((primary, replicas[seed % 2])))
+        run_load(model, source, 1.0)
+        world.databases[primary].restart(loses_log=True)
+        world.cuts |= {frozenset((home, replicas[1 - seed % 2])) for home in HOMES}
+        run_load(model, source, 3.0)
+        heal(world)
+        run_load(model, source, 6.0)
+        model.check_end()
+        assert max(world.primaries) > 1
+        assert max(model.acknowledged.values()) > world.now - 1.0
+
+
+def order_fences(election: Election, names: tuple[str, ...], world: World) -> list:
+    """Carry an election's fences to some databases; return its next orders."""
+    orders = [
+        election.take_fence_answer(world.databases[order.database].fence(order), 0.0)
+        for order in election.list_orders()
+        if order.database in names
+    ]
+    return list(orders[-1])
+
+
+def test_paused_orderer_makes_no_second_primary():
+    """Guards against a promotion by an orderer that was paused after its choice: it
+    is refused by a candidate that was fenced again, and it is without effect when the
+    later majority does not contain the candidate.
+    """
+    for others in (("db1", "db2"), ("db0", "db2")):
+        world = World(1, TimeoutDetector, has_chaos=False)
+        paused = Election(GROUP, 1, "home0/1", avoided=(), now=0.0)
+        (stale,) = order_fences(paused, ("db0", "db1"), world)
+        assert stale.database == "db1"
+        later = Election(GROUP, 2, "home1/1", avoided=(), now=0.0)
+        (promotion,) = order_fences(later, others, world)
+        current = world.databases[promotion.database]
+        assert current.promote(promotion).accepted
+        answer = world.databases["db1"].promote(stale)
+        assert answer.accepted == ("db1" not in others)
+        for database in world.databases.values():
+            for replica in world.databases.values():
+                database.replicate_to(replica, 10)
+        assert {item.log[0][0] for item in world.databases.values()} == {2}
