Let half of each plan be reserve, and let pledges bring its tokens

Cause: without an owner (store down, owner killed) only the reserve of 0.2 was left, while in a healthy fleet the owner already lends most of it back.

A pledge now also hands the tokens in the reserves of short workspaces to the owner, once for each question, so that a burst after a pause finds the whole plan.

--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -338,12 +338,14 @@
 
     :param asked_at: seconds on the owner's clock, echoed by the answer.
     :param term_seconds: how long the reserves shall stay unused, from receipt.
+    :param workspaces: those whose tokens in the reserve the owner wants.
     """
 
     shard: int
     epoch: int
     asked_at: float
     term_seconds: float
+    workspaces: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -352,6 +354,7 @@
 
     :param term_seconds: counted by the instance from receipt of the question; the
         owner counts it from when it asked.
+    :param levels: workspaces and their tokens, which leave the reserve for good.
     """
 
     shard: int
@@ -360,6 +363,7 @@
     seat: int
     asked_at: float
     term_seconds: float
+    levels: tuple[tuple[str, float], ...] = ()
 
 
 # Configuration
--- a/src/sardinemill/filters/ledger.py
+++ b/src/sardinemill/filters/ledger.py
@@ -88,6 +88,12 @@
         self._n_pledged = n_pledged
         self._clamp(now)
 
+    def add_tokens(self, n_tokens: float, now: float) -> None:
+        """Take over tokens that left the reserve of a pledged seat."""
+        self.update(now)
+        self._level += max(0.0, n_tokens)
+        self._clamp(now)
+
     def lend(
         self,
         borrow_id: str,
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -40,11 +40,15 @@
     """Ledgers of one shard under one epoch.
 
     :param pledges: seat to the end of its pledge on the local clock.
+    :param asked_at: seat to the question that its last counted pledge answered.
+    :param short: workspaces with a short grant since the last question.
     """
 
     lease: ShardLease
     ledgers: dict[str, Ledger] = field(default_factory=dict)
     pledges: dict[int, float] = field(default_factory=dict)
+    asked_at: dict[int, float] = field(default_factory=dict)
+    short: set[str] = field(default_factory=set)
     pressed_until: float = float("-inf")
     next_query_at: float = float("-inf")
 
@@ -61,16 +65,21 @@
             for ledger in self.ledgers.values():
                 ledger.set_pledged(len(self.pledges), ends_at)
 
-    def add_pledge(self, seat: int, ends_at: float, now: float) -> None:
-        """Count the reserve of a seat until ``ends_at``."""
+    def add_pledge(self, pledge: ReservePledge, now: float) -> None:
+        """Count the reserve of a seat until the pledge ends, and its tokens once."""
         self.update_pledges(now)
-        if ends_at <= max(now, self.pledges.get(seat, now)):
+        ends_at = pledge.asked_at + shrink_wait(pledge.term_seconds)
+        is_repeat = pledge.asked_at <= self.asked_at.get(pledge.seat, float("-inf"))
+        if ends_at <= now or is_repeat:
             return
-        is_new = seat not in self.pledges
-        self.pledges[seat] = ends_at
-        if is_new:
-            for ledger in self.ledgers.values():
-                ledger.set_pledged(len(self.pledges), now)
+        self.asked_at[pledge.seat] = pledge.asked_at
+        ends_at = max(ends_at, self.pledges.get(pledge.seat, ends_at))
+        self.pledges[pledge.seat] = ends_at
+        for ledger in self.ledgers.values():
+            ledger.set_pledged(len(self.pledges), now)
+        for workspace, n_tokens in pledge.levels:
+            if workspace in self.ledgers:
+                self.ledgers[workspace].add_tokens(n_tokens, now)
 
     @property
     def closes_at(self) -> float:
@@ -146,8 +155,7 @@
         elif isinstance(message, ReservePledge):
             book = self._books.get(message.shard)
             if book is not None and book.lease.epoch == message.epoch:
-                ends_at = message.asked_at + shrink_wait(message.term_seconds)
-                book.add_pledge(message.seat, ends_at, now)
+                book.add_pledge(message, now)
         return ()
 
     def _lend(self, request: BorrowRequest, now: float) -> Loan:
@@ -167,6 +175,7 @@
             if book.pressed_until < now:
                 book.next_query_at = now
             book.pressed_until = now + PRESSURE_SECONDS
+            book.short.add(request.workspace)
         return Loan(
             borrow_id=request.borrow_id,
             workspace=request.workspace,
@@ -246,7 +255,9 @@
             epoch=book.lease.epoch,
             asked_at=now,
             term_seconds=PLEDGE_TERM_SECONDS,
+            workspaces=tuple(sorted(book.short)),
         )
+        book.short.clear()
         return tuple(
             Emission("peers", PeerEnvelope(peer=peer, message=query))
             for peer in ("*", self._name)
--- a/src/sardinemill/filters/reserve.py
+++ b/src/sardinemill/filters/reserve.py
@@ -120,6 +120,11 @@
         term = min(query.term_seconds, self._seat.valid_until - now)
         if self._seat.seat is None or self._seat.is_closing or term <= 0:
             return None
+        levels = []
+        for workspace in query.workspaces:
+            reserve = self.find(workspace, query.shard, now)
+            if reserve is not None:
+                levels.append((workspace, reserve.update(now)))
         until = max(now + term, self._pledges.get(query.shard, float("-inf")))
         self._pledges[query.shard] = until
         for reserve in self._by_shard.get(query.shard, {}).values():
@@ -131,6 +136,7 @@
             seat=self._seat.seat,
             asked_at=query.asked_at,
             term_seconds=term,
+            levels=tuple(levels),
         )
 
     def change_configuration(self, configuration: Configuration, now: float) -> None:
--- a/src/sardinemill/limits.py
+++ b/src/sardinemill/limits.py
@@ -26,12 +26,15 @@
     :param n_shards: ledgers' shards; 16 today, 256 at the target size.
     :param n_seats: places that a static reserve is divided by; at least the number of
         instances.
-    :param reserve_fraction: part of rate and burst that seats hold.
+    :param reserve_fraction: part of rate and burst that seats hold. While the owner
+        reaches the instances it lends their parts too, so a large fraction costs
+        little in a healthy fleet and serves more without an owner. Above a half, too
+        few tokens may be lent at once.
     """
 
     n_shards: int = 16
     n_seats: int = 32
-    reserve_fraction: float = 0.2
+    reserve_fraction: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
