Report spent loans at once while loans crowd the bucket

Cause: with a burst far below one second of the rate, spent loans that wait for the next borrow request take most of what may be lent, and the refill stops at a full bucket.

The owner marks a loan when more than half of what it may lend is out; the borrower then reports each end by a message of its own.

A test changes plans while the change spreads over 3 s, with and without a reserve in the lower plan. Its check of the admitted number is relative to the naive bucket, since the arrivals pause for much of the window.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -23,7 +23,7 @@
 
 N_INSTANCES = 18
 WARM_UP_SECONDS = 25.0
-# Rate and burst of each workspace: a few are large.
+# Rate of each workspace: a few are large.
 SIZES = (200.0, 200.0, 60.0, 60.0, 60.0, 20.0, 20.0, 20.0)
 LOADS = (0.5, 0.9, 1.0, 3.0)
 CONDITIONS = {
@@ -45,6 +45,7 @@
     entry: str
     load: float
     reserve_fraction: float
+    burst_seconds: float
     random_state: int
 
 
@@ -81,13 +82,14 @@
 class NaiveBucket:
     """Token bucket that sees all requests in order."""
 
-    def __init__(self, rate: float, now: float) -> None:
-        self._rate, self._level, self._at = rate, rate, now
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self._rate, self._burst = rate, burst
+        self._level, self._at = burst, now
 
     def admit(self, now: float) -> bool:
         """Spend a token if there is one."""
         refill = (now - self._at) * self._rate
-        self._level = min(self._rate, self._level + refill)
+        self._level = min(self._burst, self._level + refill)
         self._at = now
         if self._level < 1:
             return False
@@ -110,13 +112,16 @@
             self.n_wrongful += 1
 
 
-def make_configuration() -> Configuration:
-    """Eight workspaces, each with its own plan."""
+def make_configuration(burst_seconds: float) -> Configuration:
+    """Eight workspaces, each with its own plan.
+
+    :param burst_seconds: burst, in seconds of the plan's rate.
+    """
     names = [f"workspace-{number}" for number in range(len(SIZES))]
     return Configuration(
         version=1,
         plans={
-            name: Plan(name=name, rate_per_second=size, burst=size)
+            name: Plan(name=name, rate_per_second=size, burst=size * burst_seconds)
             for name, size in zip(names, SIZES, strict=True)
         },
         workspaces={
@@ -138,11 +143,11 @@
     favourite = source.randrange(N_INSTANCES)
     time = start
     while cell.entry == "bursts":
-        time += BURST_SIZE / cell.load
+        time += BURST_SIZE * cell.burst_seconds / cell.load
         if time >= start + seconds:
             return
         entry = source.randrange(N_INSTANCES)
-        n_requests = int(size * BURST_SIZE)
+        n_requests = int(size * BURST_SIZE * cell.burst_seconds)
         offsets = sorted(source.uniform(0, 0.05) for _ in range(n_requests))
         yield from ((time + offset, entry) for offset in offsets)
     while (time := time + source.expovariate(size * cell.load)) < start + seconds:
@@ -156,7 +161,7 @@
     n_requests = 0
     for number, size in enumerate(SIZES):
         workspace = f"workspace-{number}"
-        naive = NaiveBucket(size, fleet.now)
+        naive = NaiveBucket(size, size * cell.burst_seconds, fleet.now)
         for time, entry in make_arrivals(source, cell, size, fleet.now, seconds):
             n_requests += 1
             request_id = str(n_requests)
@@ -214,7 +219,7 @@
             random_state=cell.random_state,
             limits=LimitSettings(reserve_fraction=cell.reserve_fraction),
         ),
-        make_configuration(),
+        make_configuration(cell.burst_seconds),
         tally,
     )
     fleet.run_until(WARM_UP_SECONDS)
@@ -259,6 +264,7 @@
     parser.add_argument(
         "--reserve", type=float, default=LimitSettings().reserve_fraction
     )
+    parser.add_argument("--burst-seconds", type=float, default=1.0)
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--condition", choices=list(CONDITIONS), action="append")
     parser.add_argument("--output", help="file to which JSON lines are appended")
@@ -269,6 +275,7 @@
             entry=entry,
             load=load,
             reserve_fraction=options.reserve,
+            burst_seconds=options.burst_seconds,
             random_state=options.seed,
         )
         for condition in options.condition or CONDITIONS
--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.configuration import Configuration, ConfigurationChanged
@@ -201,11 +202,14 @@
         """Separate instances from peers and store; others are connected."""
         self._cut_off = set(names)
 
-    def change_configuration(self, configuration: Configuration) -> None:
-        """Put a configuration in force everywhere."""
+    def change_configuration(
+        self, configuration: Configuration, spread_seconds: float = 0.0
+    ) -> None:
+        """Put a configuration in force at each instance within a time."""
         self._configuration = configuration
         for node in self.nodes.values():
-            self._configure(node)
+            at = self.now + self._random.uniform(0, spread_seconds)
+            self.schedule(at, partial(self._configure, node))
 
     def announce_members(self, without: str = "", to: Sequence[str] = ()) -> None:
         """Tell instances, or only those in ``to``, who is live, leaving one out."""
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -253,6 +253,8 @@
     :param retry_after_seconds: when the bucket holds tokens again; 0 with a short
         grant means that reports of spent loans make room for more at once.
     :param owner: instance that the sender believes to be the owner.
+    :param is_crowded: loans use up much of the bucket, so that the end of each loan
+        should be reported at once.
     """
 
     borrow_id: str
@@ -262,6 +264,7 @@
     lifetime_seconds: float
     retry_after_seconds: float = 0.0
     owner: str = ""
+    is_crowded: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/filters/account.py
+++ b/src/sardinemill/filters/account.py
@@ -85,6 +85,8 @@
         # No borrow before this time: the owner said when it has tokens again.
         self.next_borrow_at = float("-inf")
         self.is_bucket_empty = False
+        # Whether the owner wants to hear of each loan's end at once.
+        self.is_crowded = False
         # In a row: borrow requests that no owner answered, and hints followed.
         self.n_unanswered = 0
         self.n_hints = 0
@@ -201,11 +203,16 @@
         self.ended = [entry for entry in self.ended if entry[0] != owner]
         return returns
 
-    def take_unspent(self) -> list[tuple[str, LoanReturn]]:
-        """Remove and return the ended loans that have unspent tokens, with lenders."""
-        unspent = [entry for entry in self.ended if entry[1].n_tokens > EPSILON]
-        self.ended = [entry for entry in self.ended if entry[1].n_tokens <= EPSILON]
-        return unspent
+    def take_urgent(self) -> list[tuple[str, LoanReturn]]:
+        """Remove and return the ended loans to report at once, with lenders.
+
+        Those without unspent tokens can wait for the next borrow request, unless loans
+        use up the owner's bucket.
+        """
+        least = 0.0 if self.is_crowded else EPSILON
+        urgent = [entry for entry in self.ended if entry[1].n_tokens >= least]
+        self.ended = [entry for entry in self.ended if entry[1].n_tokens < least]
+        return urgent
 
     def find_wanted(self, now: float, *, is_ahead: bool) -> float:
         """Tokens to borrow now, whole ones; 0 while the stock suffices.
--- a/src/sardinemill/filters/admission.py
+++ b/src/sardinemill/filters/admission.py
@@ -341,6 +341,7 @@
         account.n_unanswered = account.n_hints = 0
         self._hints[account.shard] = peer
         account.is_bucket_empty = loan.retry_after_seconds > 0
+        account.is_crowded = loan.is_crowded
         account.next_borrow_at = now + loan.retry_after_seconds
 
     def _follow_hint(self, account: Account, loan: Loan, now: float) -> None:
@@ -355,7 +356,7 @@
     def _send_returns(self, account: Account) -> list[Emission]:
         return [
             Emission("peers", PeerEnvelope(peer=owner, message=item))
-            for owner, item in account.take_unspent()
+            for owner, item in account.take_urgent()
         ]
 
     def _drain(self, now: float) -> Sequence[Emission]:
--- a/src/sardinemill/filters/ledger.py
+++ b/src/sardinemill/filters/ledger.py
@@ -24,12 +24,14 @@
     """Answer to a borrow id, kept for its repeats.
 
     :param ends_at: owner's clock; after the loan has expired at any borrower.
+    :param is_crowded: whether loans used up more than half of what may be lent.
     :param is_open: whether its tokens may still be spent.
     """
 
     n_tokens: float
     ends_at: float
     retry_after_seconds: float
+    is_crowded: bool
     is_open: bool
 
 
@@ -118,10 +120,12 @@
         is_room_short = granted > 0 and free < self._level
         if granted < n_tokens and not is_room_short:
             retry_after = self._estimate_retry(n_tokens - granted, now)
+        lendable = self._find_lendable(now)
         grant = Grant(
             n_tokens=granted,
             ends_at=now + stretch_wait(lifetime_seconds),
             retry_after_seconds=retry_after,
+            is_crowded=self._outstanding + granted > lendable / 2,
             is_open=granted > 0,
         )
         self._level -= granted
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -184,6 +184,7 @@
             lifetime_seconds=lifetime,
             retry_after_seconds=grant.retry_after_seconds,
             owner=self._name,
+            is_crowded=grant.is_crowded,
         )
 
     def _decline(self, request: BorrowRequest, shard: int) -> Loan:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from bench.limits_fleet import Fleet, FleetSettings
@@ -53,10 +54,10 @@
         self.level -= n_tokens
         self.lowest = min(self.lowest, self.level)
 
-    def admits(self, now):
+    def admits(self, now, cost=1.0):
         self.spend(0, now)
-        is_admitted = self.level >= 1
-        self.spend(is_admitted, now)
+        is_admitted = self.level >= cost
+        self.spend(cost * is_admitted, now)
         return is_admitted
 
 
@@ -129,14 +130,18 @@
     """Schedule random arrivals, some of them begins, after rare pauses.
 
     Pauses let the buckets fill; the bursts after them are what breaks a bound.
+
+    :returns: times and costs.
     """
-    time, number = fleet.now, 0
+    time, number, arrivals = fleet.now, 0, []
     while time < until:
         time += source.choice((3.0, 6.0)) if source.random() < pause else 0.0
         time += source.expovariate(rate)
         number += 1
         action = Action.BEGIN if source.random() < 0.1 else Action.STATEMENT
-        recorder.costs[str(number)] = 2.0 if action is Action.BEGIN else 1.0
+        cost = 2.0 if action is Action.BEGIN else 1.0
+        recorder.costs[str(number)] = cost
+        arrivals.append((time, cost))
         name = f"instance-{min(source.randrange(8), N_INSTANCES - 1)}"
         fleet.schedule(
             time,
@@ -144,6 +149,7 @@
                 name, str(number), "bees", action=action
             ),
         )
+    return arrivals
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
@@ -276,6 +282,47 @@
     assert recorder.n_admitted == number
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("low", [(10.0, 20.0), (30.0, 6.0)])
+def test_plan_changes_keep_the_bound(seed, low):
+    """Guards against tokens of two plans that add up while a change spreads.
+
+    The larger plan bounds every window, the smaller one those between the changes. The
+    low plans have a reserve and none.
+    """
+    high = (40.0, 40.0)
+    always, between = Recorder(*high), Recorder(*low)
+
+    def record(now, request_id, refusal):
+        always.costs = between.costs = recorder.costs
+        always(now, request_id, refusal)
+        # 3 s until all know the plan, and a loan's life.
+        if 44.1 < now < 60.0:
+            between(now, request_id, refusal)
+
+    recorder = Recorder()
+    fleet = Fleet(
+        FleetSettings(
+            n_instances=N_INSTANCES, random_state=seed, limits=LIMITS, drift=DRIFT
+        ),
+        make_configuration(*high),
+        record,
+    )
+    fleet.run_until(20.0)
+    arrivals = schedule_statements(
+        fleet, recorder, random.Random(seed), until=80.0, rate=80.0, pause=0.005
+    )
+    for at, version, plan in ((40.0, 2, low), (60.0, 3, high)):
+        changed = make_configuration(*plan, version=version)
+        fleet.schedule(at, partial(fleet.change_configuration, changed, 3.0))
+    fleet.run_until(80.0)
+    assert always.bucket.lowest >= -1e-6
+    assert between.bucket.lowest >= -1e-6
+    naive = NaiveBucket(*low)
+    n_naive = sum(naive.admits(*item) for item in arrivals if 44.1 < item[0] < 60.0)
+    assert between.n_admitted > 0.8 * n_naive
+
+
 def run_until_empty(action):
     """Fleet whose instance 0 holds a request because the bucket is empty."""
     recorder = Recorder()
