--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -291,6 +291,8 @@
     :param retry_after_seconds: when the bucket holds tokens again; 0 with a short
         grant means that reports of spent loans make room for more at once.
     :param owner: instance that the sender believes to be the owner.
+    :param is_crowded: loans use up much of the bucket, so that the end of each loan
+        should be reported at once.
     """
 
     borrow_id: str
@@ -300,6 +302,7 @@
     lifetime_seconds: float
     retry_after_seconds: float = 0.0
     owner: str = ""
+    is_crowded: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -376,12 +379,14 @@
 
     :param asked_at: seconds on the owner's clock, echoed by the answer.
     :param term_seconds: how long the reserves shall stay unused, from receipt.
+    :param workspaces: those whose tokens in the reserve the owner wants.
     """
 
     shard: int
     epoch: int
     asked_at: float
     term_seconds: float
+    workspaces: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -390,6 +395,7 @@
 
     :param term_seconds: counted by the instance from receipt of the question; the
         owner counts it from when it asked.
+    :param levels: workspaces and their tokens, which leave the reserve for good.
     """
 
     shard: int
@@ -398,6 +404,7 @@
     seat: int
     asked_at: float
     term_seconds: float
+    levels: tuple[tuple[str, float], ...] = ()
 
 
 # Configuration
