Take no evidence of an outage from a relay without a configuration

Relays restarted behind the cut had no configuration, knew no other data centre, and so took their own view for an outage everywhere.

Evidence now needs a configuration, and is taken only from a relay with the same version. A relay without a configuration also asks instances that are not relays. The new case of the cut-off test fails without these changes.

--- a/src/sardinemill/filters/distribution.py
+++ b/src/sardinemill/filters/distribution.py
@@ -235,6 +235,9 @@
         # Every other try goes back to a relay, so that one that returns is noticed.
         if relays and self._n_unanswered % 2:
             return relays[self._turn // 2 % len(relays)]
+        return self._choose_other()
+
+    def _choose_other(self) -> str:
         return self._others[int(self._random.random() * len(self._others))]
 
     def _exchange(self, now: float) -> list[Emission]:
@@ -248,6 +251,9 @@
             others = [name for name in relays if name != self._name]
             if others:
                 emissions.append(self._ask(others[self._turn % len(others)], now))
+        if self._state.version == 0 and self._others:
+            # All relays may have started after the outage began.
+            emissions.append(self._ask(self._choose_other(), now))
         return emissions
 
     def _forget_queries(self, now: float) -> None:
@@ -313,7 +319,8 @@
             return
         self._outage_at = None
         age = answer.outage_age_seconds
-        if age is not None and answer.version <= self._state.version:
+        # A relay with another version may know fewer data centres.
+        if age is not None and answer.version == self._state.version:
             self._outage_at = query.sent_at - age
 
     # Configuration
--- a/src/sardinemill/filters/outage.py
+++ b/src/sardinemill/filters/outage.py
@@ -1,6 +1,6 @@
 """Evidence that no data centre reaches the platform's store."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..control import VersionAnswer
@@ -75,7 +75,8 @@
             if now - report.asked_at <= EVIDENCE_LIMIT_SECONDS
         }
         reports = [own, *self._reports.values()]
-        if not self._covers_all({report.data_centre for report in reports}):
+        # Without a configuration the data centres are not known.
+        if version == 0 or not self._known <= {item.data_centre for item in reports}:
             return None
         if any(report.version > version for report in reports):
             return None
@@ -84,6 +85,3 @@
         if None in ends or max(report.began_at for report in reports) > oldest:
             return None
         return oldest
-
-    def _covers_all(self, data_centres: Collection[str]) -> bool:
-        return self._known <= set(data_centres)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -120,21 +120,27 @@
     assert_never_reverted(fleet)
 
 
-def test_cut_off_data_centre_does_not_take_its_own_view_for_an_outage():
+@pytest.mark.parametrize("restarted", ["none", "relays", "others"])
+def test_cut_off_data_centre_does_not_take_its_own_view_for_an_outage(restarted):
     """Guards against a partition that looks like a total outage from inside, also to
-    an instance that was started behind it.
+    relays that were started behind it and know no other data centre yet.
     """
     fleet = make_fleet(3)
     fleet.cut_data_centre("brescia")
     separate_views(fleet, "brescia")
     inside = make_views(fleet)["brescia"]
-    fleet.restart(inside[0])
-    fleet.set_members(inside, viewers=inside[:1])
+    for name in inside:
+        is_relay = fleet.members[name].step._watch.is_active
+        if restarted == ("relays" if is_relay else "others"):
+            fleet.restart(name)
+            fleet.set_members(inside, viewers=[name])
     fleet.publish(WithdrawKey("w"))
     fleet.run_for(REFUSAL_LIMIT_SECONDS)
     for _ in range(120):
         assert fleet.list_serving("gone") == set()
         fleet.run_for(0.5)
+    # Everybody inside still learned the last version known there.
+    assert {fleet.members[name].version for name in inside} == {3}
 
 
 @settings(max_examples=15, deadline=None, derandomize=True)
@@ -173,3 +179,58 @@
     fleet.run_for(REFUSAL_LIMIT_SECONDS)
     assert fleet.list_serving("gone") == set()
     assert fleet.list_serving("kept") == set(fleet.members) - set(relays[:n_dead])
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["cut store", "cut data centre", "heal", "restart", "edit"]),
+        st.sampled_from(DATA_CENTRES),
+        st.floats(0.1, 6.0),
+    ),
+    min_size=3,
+    max_size=14,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(random_state=st.integers(0, 2**16), steps=STEPS)
+def test_withdrawn_keys_stay_refused_through_faults_in_sequence(random_state, steps):
+    """Guards against evidence or confirmations from before a fault that outlive it.
+
+    An edit is made only while some data centre reaches the store, and the store is not
+    cut off everywhere in the 3 s after it: an edit that no relay could read before a
+    total outage comes into force after it, which is the documented exception.
+    """
+    fleet = make_fleet(random_state, disorder=0.1)
+    withdrawn_at = {}
+    for number in range(len(steps)):
+        digest = hash_key(f"key {number}")
+        key = Key(key_id=f"s-{number}", workspace="loans", digest=digest)
+        fleet.publish(GiveKey(key))
+    fleet.run_for(5)
+    for number, (action, data_centre, seconds) in enumerate(steps):
+        reaches = set(DATA_CENTRES) - fleet.cut_from_store
+        latest = max(withdrawn_at.values(), default=0.0)
+        is_last = reaches <= {data_centre} and fleet.now - latest < 3
+        if action == "cut store" and not is_last:
+            fleet.cut_from_store.add(data_centre)
+        elif action == "cut data centre" and not is_last:
+            fleet.cut_data_centre(data_centre)
+            separate_views(fleet, data_centre)
+        elif action == "heal":
+            fleet.heal()
+            fleet.set_members()
+        elif action == "restart":
+            names = make_views(fleet)[data_centre]
+            fleet.restart(names[0])
+            fleet.set_members(names, viewers=names[:1])
+        elif action == "edit" and reaches:
+            fleet.publish(WithdrawKey(f"s-{number}"))
+            withdrawn_at[f"key {number}"] = fleet.now
+        end = fleet.now + seconds
+        while fleet.now < end:
+            fleet.run_for(0.25)
+            for key, at in withdrawn_at.items():
+                if fleet.now - at > REFUSAL_LIMIT_SECONDS:
+                    assert fleet.list_serving(key) == set()
+    assert_never_reverted(fleet)
