--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -7,6 +7,7 @@
 
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -22,6 +23,7 @@
     PeerEnvelope,
     ReservePledge,
     ReserveQuery,
+    ShardReleased,
     StoreCall,
     StoreFailure,
     StoreOperation,
@@ -36,6 +38,8 @@
 from sardinemill.messages import Action, Refusal, Request
 from sardinemill.records import JsonLeaseCodec
 
+# Far above what any filter needs; a filter that asks for ticks without end exceeds it.
+TICK_LIMIT_PER_SECOND = 2000
 _ADDRESS = Address("127.0.0.1", 1)
 _PEER_TARGETS = {
     BorrowRequest: "lending",
@@ -43,6 +47,7 @@
     ReservePledge: "lending",
     Loan: "admission",
     ReserveQuery: "admission",
+    ShardReleased: "leasing",
 }
 
 
@@ -54,7 +59,7 @@
     :param store_delay_seconds: the same for each direction of a store call.
     :param loss: part of the peer messages that are lost.
     :param duplication: part of the peer messages that arrive twice.
-    :param drift: greatest deviation of a clock's rate.
+    :param drift: deviations of a clock's rate; each instance gets one of them.
     :param stall_seconds: longest delay of a message within an instance.
     """
 
@@ -65,7 +70,7 @@
     store_delay_seconds: tuple[float, float] = (0.001, 0.003)
     loss: float = 0.0
     duplication: float = 0.0
-    drift: float = 0.0
+    drift: tuple[float, ...] = (0.0,)
     stall_seconds: float = 0.0
 
 
@@ -80,6 +85,8 @@
     paused_until: float = 0.0
     is_stopped: bool = False
     ticks: dict[str, float] = field(default_factory=dict)
+    stopped: set[str] = field(default_factory=set)
+    n_ticks: Counter[tuple[str, int]] = field(default_factory=Counter)
 
     def read_clock(self, time: float) -> float:
         """Local monotonic seconds at a true time."""
@@ -117,6 +124,10 @@
         self._n_events = 0
         self._objects: dict[str, tuple[int, bytes]] = {}
         self._cut_off: set[str] = set()
+        # Instances that membership no longer counts as live.
+        self.not_live: set[str] = set()
+        # Instances that reach their peers but not the store.
+        self.without_store: set[str] = set()
         for number in range(settings.n_instances):
             self._add_node(f"instance-{number}")
         self.announce_members()
@@ -144,8 +155,10 @@
         action: Action = Action.STATEMENT,
         timeout_seconds: float = 10.0,
     ) -> None:
-        """Let a request enter at an instance now."""
-        node = self.nodes[name]
+        """Let a request enter at an instance now, if that runs."""
+        node = self.nodes.get(name)
+        if node is None:
+            return
         request = Request(
             request_id=request_id,
             action=action,
@@ -167,6 +180,13 @@
         """Stop an instance without notice."""
         self.nodes.pop(name).is_stopped = True
 
+    def kill_lending(self, name: str) -> None:
+        """Stop the lending side of an instance; its callers have gone elsewhere.
+
+        The admission filter stays as the entry of these callers' new connections.
+        """
+        self.nodes[name].stopped.update(("lending", "leasing"))
+
     def drain_node(self, name: str) -> None:
         """Ask an instance to stop."""
         for target in ("admission", "leasing"):
@@ -187,8 +207,8 @@
         for node in self.nodes.values():
             self._configure(node)
 
-    def announce_members(self) -> None:
-        """Tell all instances who is live."""
+    def announce_members(self, without: str = "", to: Sequence[str] = ()) -> None:
+        """Tell instances, or only those in ``to``, who is live, leaving one out."""
         live = tuple(
             InstanceInfo(
                 name=name,
@@ -197,9 +217,12 @@
                 front_address=_ADDRESS,
             )
             for name in self.nodes
+            if name != without and name not in self.not_live
         )
         members = MembershipChanged(live=live, leaving=())
         for node in self.nodes.values():
+            if to and node.name not in to:
+                continue
             for target in ("admission", "leasing"):
                 self._deliver(node, target, members)
 
@@ -213,7 +236,6 @@
     def _add_node(self, name: str) -> None:
         limits, codec = self._settings.limits, JsonLeaseCodec()
         source = SeededRandom(self._random.getrandbits(64))
-        drift = self._settings.drift
         node = Node(
             name=name,
             filters={
@@ -222,7 +244,7 @@
                 "leasing": Leasing(name, limits, codec, source),
             },
             clock_start=self._random.uniform(0, 1000),
-            clock_rate=1 + self._random.choice((-drift, drift)),
+            clock_rate=1 + self._random.choice(self._settings.drift),
         )
         self.nodes[name] = node
         self._configure(node)
@@ -242,7 +264,7 @@
             self._run(node, target, message)
 
     def _run(self, node: Node, target: str, message: object | None) -> None:
-        if node.is_stopped:
+        if node.is_stopped or target in node.stopped:
             return
         if node.paused_until > self.now:
             self.schedule(node.paused_until, lambda: self._run(node, target, message))
@@ -269,8 +291,12 @@
             self.schedule(at, lambda: self._tick(node, target, at))
 
     def _tick(self, node: Node, target: str, at: float) -> None:
-        if node.ticks.get(target) == at:
-            self._run(node, target, None)
+        if node.ticks.get(target) != at:
+            return
+        node.n_ticks[target, int(self.now)] += 1
+        if node.n_ticks[target, int(self.now)] > TICK_LIMIT_PER_SECOND:
+            raise RuntimeError(f"{target} of {node.name} ticks without end")
+        self._run(node, target, None)
 
     def _emit(self, node: Node, outlet: str, message: object) -> None:
         if outlet == "next" and isinstance(message, Request):
@@ -319,7 +345,8 @@
         asked_at = node.read_clock(self.now)
         shortest, longest = self._settings.store_delay_seconds
         delay = self._random.uniform(shortest, longest)
-        if self.is_store_down or node.name in self._cut_off:
+        cut_off = self._cut_off | self.without_store
+        if self.is_store_down or node.name in cut_off:
             failed = self._fail(call, asked_at)
             self.schedule(
                 self.now + call.timeout_seconds,
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -22,10 +22,12 @@
         control.InstanceList,
         control.Loan,
         control.LoanReturn,
+        control.OrderNotice,
         control.PrimaryChanged,
         control.PrimaryOpinion,
         control.ReservePledge,
         control.ReserveQuery,
+        control.ShardReleased,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -251,6 +251,8 @@
     """Asks a shard's owner for tokens; a repeat carries the same ``borrow_id``.
 
     :param returns: loans of this owner that ended early, spent or not.
+    :param lifetime_seconds: longest use of the loan; a short one frees its place in
+        the bucket without a return message.
     """
 
     borrow_id: str
@@ -258,6 +260,7 @@
     workspace: str
     n_tokens: float
     returns: "tuple[LoanReturn, ...]" = ()
+    lifetime_seconds: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -267,7 +270,8 @@
     :param n_tokens: granted tokens; 0 when the bucket is empty or the sender does not
         own the shard.
     :param lifetime_seconds: counted by the borrower from when it sent the request.
-    :param retry_after_seconds: when the bucket holds tokens again.
+    :param retry_after_seconds: when the bucket holds tokens again; 0 with a short
+        grant means that reports of spent loans make room for more at once.
     :param owner: instance that the sender believes to be the owner.
     """
 
@@ -298,8 +302,7 @@
     :param epoch: counts changes of owner.
     :param valid_until: local monotonic seconds; counted from before the renewal call.
     :param taken_at: local monotonic seconds at which this owner began.
-    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`
-        once its loans have ended.
+    :param is_closing: the owner lends no more and answers with :class:`ShardClosed`.
     """
 
     shard: int
@@ -312,7 +315,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardClosed:
-    """No loan of the shard is open, so its lease may be released."""
+    """Nothing more is lent of the shard, so its lease may be released."""
+
+    shard: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardReleased:
+    """Tells the next owner of a shard that its lease is free."""
 
     shard: int
     epoch: int
@@ -324,11 +335,13 @@
 
     :param is_closing: the reserve must not be used any more; :class:`SeatClosed`
         answers once no pledge of it is open.
+    :param place: 0 for the first seat of the instance, 1 for a spare one.
     """
 
     seat: int | None
     valid_until: float
     is_closing: bool = False
+    place: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -336,6 +349,7 @@
     """The reserve of the seat is neither used nor pledged; it may be released."""
 
     seat: int
+    place: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -444,6 +458,31 @@
     instances: tuple[InstanceInfo, ...]
 
 
+# Orders of operators
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderNotice:
+    """Tells an instance that an order for it is in the store.
+
+    :param name: name of the store object.
+    """
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainOrdered:
+    """An operator asked this instance to drain and stop."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromotionOrdered:
+    """An operator asked for a new primary of a group."""
+
+    group: str
+
+
 # Calls to the platform's store
 
 
--- a/src/sardinemill/filters/admission.py
+++ b/src/sardinemill/filters/admission.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Sequence
 
 from ..configuration import ConfigurationChanged
@@ -23,13 +24,15 @@
 from ..interfaces import Emission, RandomSource
 from ..limits import (
     LOAN_LIFETIME_SECONDS,
+    N_PLACES,
+    SHORT_LIFETIME_SECONDS,
     LimitSettings,
     ShardRanking,
     find_shard,
 )
 from ..messages import Action, Cancellation, Refusal, RefusalCode, Request
 from .account import (
-    RETURN_SECONDS,
+    RETURN_FRACTION,
     Account,
     Borrowing,
     HeldRequest,
@@ -43,8 +46,9 @@
 # Several round trips within a region; doubled for each repeat.
 REPEAT_SECONDS = 0.05
 N_REPEATS = 3
-# Pause after an instance that is not the owner knew none either.
-NO_OWNER_SECONDS = 0.1
+# Pause after no owner was found; doubled each time, up to 0.8 s.
+NO_OWNER_SECONDS = 0.05
+N_DOUBLINGS = 4
 N_HINTS = 3
 
 _COSTS = {
@@ -73,7 +77,7 @@
         self._name = name
         self._settings = settings
         self._random = random_source
-        self._reserves = Reserves(name, settings)
+        self._reserves = [Reserves(name, settings) for _ in range(N_PLACES)]
         self._accounts: dict[str, Account] = {}
         self._held_in: dict[str, Account] = {}
         self._timers: list[tuple[float, str]] = []
@@ -84,8 +88,8 @@
     @property
     def next_tick(self) -> float | None:
         due = self._timers[0][0] if self._timers else None
-        closes_at = self._reserves.closes_at
-        times = [time for time in (due, closes_at) if time is not None]
+        closings = [reserves.closes_at for reserves in self._reserves]
+        times = [time for time in (due, *closings) if time is not None]
         return min(times, default=None)
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
@@ -99,10 +103,11 @@
             case PeerEnvelope(message=ReserveQuery() as query):
                 return self._pledge_reserve(message.peer, query, now)
             case SeatLease():
-                self._reserves.take_seat(message, now)
-                return self._close_seat(now)
+                self._reserves[message.place].take_seat(message, now)
+                return self._close_seats(now)
             case ConfigurationChanged():
-                self._reserves.change_configuration(message.configuration, now)
+                for reserves in self._reserves:
+                    reserves.change_configuration(message.configuration, now)
             case MembershipChanged():
                 self._ranking.set_instances(item.name for item in message.live)
             case DrainStarted():
@@ -117,7 +122,7 @@
             if account.due_at == due_at:
                 account.due_at = None
                 emissions += self._advance(account, now)
-        emissions += self._close_seat(now)
+        emissions += self._close_seats(now)
         return emissions
 
     # Requests
@@ -144,14 +149,18 @@
         return (Emission("next", message),)
 
     def _spend(self, account: Account, n_tokens: float, now: float) -> bool:
-        reserve = self._reserves.find(account.workspace, account.shard, now)
-        return account.spend(n_tokens, now, reserve)
+        found = [
+            reserves.find(account.workspace, account.shard, now)
+            for reserves in self._reserves
+        ]
+        usable = [reserve for reserve in found if reserve is not None]
+        return account.spend(n_tokens, now, usable)
 
     def _advance(self, account: Account, now: float) -> list[Emission]:
         """Do all that is due for an account, and set its timer."""
         account.expire_loans(now)
         emissions = self._serve_held(account, now)
-        account.end_loans(now + RETURN_SECONDS)
+        account.end_loans(now)
         emissions += self._borrow(account, now)
         emissions += self._refuse_overdue(account, now)
         emissions += self._send_returns(account)
@@ -216,7 +225,8 @@
         if borrowing is not None:
             if now < borrowing.next_send_at:
                 return []
-            if borrowing.n_sent < N_REPEATS:
+            is_useful = now < borrowing.sent_at + borrowing.lifetime_seconds
+            if borrowing.n_sent < N_REPEATS and is_useful:
                 return [self._send_borrow(account, borrowing, now)]
             return self._give_up(account, borrowing, now)
         if now < account.next_borrow_at:
@@ -225,13 +235,16 @@
         owner = self._find_owner(account)
         if n_tokens <= 0 or owner is None:
             if n_tokens > 0:
-                account.n_unanswered += 1
-                account.next_borrow_at = now + NO_OWNER_SECONDS
+                self._note_no_owner(account, now)
             return []
+        is_for_stock = n_tokens > math.ceil(account.n_held_tokens)
         borrowing = Borrowing(
             borrow_id=self._random.make_id(),
             owner=owner,
             n_tokens=n_tokens,
+            lifetime_seconds=(
+                LOAN_LIFETIME_SECONDS if is_for_stock else SHORT_LIFETIME_SECONDS
+            ),
             sent_at=now,
             next_send_at=now,
             n_sent=0,
@@ -246,6 +259,7 @@
             borrow_id=borrowing.borrow_id,
             owner=borrowing.owner,
             n_tokens=borrowing.n_tokens,
+            lifetime_seconds=borrowing.lifetime_seconds,
             sent_at=borrowing.sent_at,
             next_send_at=now + REPEAT_SECONDS * 2**borrowing.n_sent,
             n_sent=borrowing.n_sent + 1,
@@ -257,6 +271,7 @@
             workspace=account.workspace,
             n_tokens=borrowing.n_tokens,
             returns=borrowing.returns,
+            lifetime_seconds=borrowing.lifetime_seconds,
         )
         return Emission("peers", PeerEnvelope(peer=borrowing.owner, message=request))
 
@@ -271,17 +286,27 @@
             )
             emissions.append(Emission("events", event))
         account.borrowing = None
-        account.is_bucket_empty = False
-        account.n_unanswered += 1
         self._hints.pop(account.shard, None)
-        return emissions + self._borrow(account, now)
+        self._note_no_owner(account, now)
+        return emissions
+
+    def _note_no_owner(self, account: Account, now: float) -> None:
+        pause = NO_OWNER_SECONDS * 2.0 ** min(account.n_unanswered, N_DOUBLINGS)
+        account.n_unanswered += 1
+        account.is_bucket_empty = False
+        account.next_borrow_at = now + pause
 
     def _find_owner(self, account: Account) -> str | None:
         hint = self._hints.get(account.shard)
         if hint is not None and self._ranking.has(hint):
             return hint
         ranked = self._ranking.rank(account.shard)
-        return ranked[account.n_unanswered % len(ranked)] if ranked else None
+        if not ranked:
+            return None
+        # The first candidate may be about to take over; later both are asked in turn,
+        # since the second stands in for a first one without store.
+        n_failed = account.n_unanswered
+        return ranked[0 if n_failed < 2 else (n_failed + 1) % len(ranked)]
 
     def _take_loan(self, peer: str, loan: Loan, now: float) -> Sequence[Emission]:
         account = self._accounts.get(loan.workspace)
@@ -291,9 +316,8 @@
         if borrowing.borrow_id != loan.borrow_id:
             return ()
         account.borrowing = None
-        expires_at = borrowing.sent_at + min(
-            loan.lifetime_seconds, LOAN_LIFETIME_SECONDS
-        )
+        lifetime = min(loan.lifetime_seconds, borrowing.lifetime_seconds)
+        expires_at = borrowing.sent_at + lifetime
         if loan.n_tokens > 0 and now < expires_at:
             account.add_loan(
                 LocalLoan(
@@ -302,6 +326,7 @@
                     epoch=loan.epoch,
                     n_tokens=loan.n_tokens,
                     expires_at=expires_at,
+                    return_at=borrowing.sent_at + lifetime * RETURN_FRACTION,
                 )
             )
         if loan.owner == peer:
@@ -313,12 +338,10 @@
     def _note_owner_answer(
         self, account: Account, peer: str, borrowing: Borrowing, loan: Loan, now: float
     ) -> None:
-        account.n_unanswered = 0
-        account.n_hints = 0
+        account.n_unanswered = account.n_hints = 0
         self._hints[account.shard] = peer
-        account.is_bucket_empty = loan.n_tokens < borrowing.n_tokens
-        if account.is_bucket_empty:
-            account.next_borrow_at = now + loan.retry_after_seconds
+        account.is_bucket_empty = loan.retry_after_seconds > 0
+        account.next_borrow_at = now + loan.retry_after_seconds
 
     def _follow_hint(self, account: Account, loan: Loan, now: float) -> None:
         account.n_hints += 1
@@ -327,9 +350,7 @@
             return
         self._hints.pop(account.shard, None)
         account.n_hints = 0
-        account.n_unanswered += 1
-        account.is_bucket_empty = False
-        account.next_borrow_at = now + NO_OWNER_SECONDS
+        self._note_no_owner(account, now)
 
     def _send_returns(self, account: Account) -> list[Emission]:
         return [
@@ -350,14 +371,16 @@
     def _pledge_reserve(
         self, peer: str, query: ReserveQuery, now: float
     ) -> Sequence[Emission]:
-        pledge = self._reserves.pledge(query, now)
-        if pledge is None:
-            return ()
-        return (Emission("peers", PeerEnvelope(peer=peer, message=pledge)),)
+        pledges = [reserves.pledge(query, now) for reserves in self._reserves]
+        return [
+            Emission("peers", PeerEnvelope(peer=peer, message=pledge))
+            for pledge in pledges
+            if pledge is not None
+        ]
 
-    def _close_seat(self, now: float) -> list[Emission]:
-        closed = self._reserves.close_seat(now)
-        return [] if closed is None else [Emission("leasing", closed)]
+    def _close_seats(self, now: float) -> list[Emission]:
+        closed = [reserves.close_seat(now) for reserves in self._reserves]
+        return [Emission("leasing", item) for item in closed if item is not None]
 
     def _find_account(self, workspace: str) -> Account:
         account = self._accounts.get(workspace)
--- a/src/sardinemill/filters/lease.py
+++ b/src/sardinemill/filters/lease.py
@@ -90,6 +90,7 @@
         self._must_read = True
         # First of the puts on the current version whose effect is unknown.
         self._unknown_put_at: float | None = None
+        self._is_outdated = False
         self._n_failures = 0
         self._next_at = NEVER
 
@@ -130,6 +131,13 @@
         if self._n_failures == 0:
             self._next_at = min(self._next_at, now)
 
+    def read_again(self, now: float) -> None:
+        """Act on news that the object changed."""
+        self._must_read = True
+        # The answer to an open read may be older than the news.
+        self._is_outdated = self._call is not None
+        self.hurry(now)
+
     def is_free(self, now: float) -> bool:
         """Tell whether the lease may be claimed."""
         return self._version is not None and now >= self._find_free_at()
@@ -148,9 +156,13 @@
         self._called_at = now
         return call
 
+    def is_waiting_for(self, reply: StoreReply) -> bool:
+        """Tell whether a reply belongs to the open call."""
+        return self._call is not None and reply.call.call_id == self._call.call_id
+
     def take_reply(self, reply: StoreReply, now: float) -> None:
         """Learn from a store reply; replies to earlier calls are ignored."""
-        if self._call is None or reply.call.call_id != self._call.call_id:
+        if not self.is_waiting_for(reply):
             return
         self._call = None
         if reply.failure is StoreFailure.UNAVAILABLE:
@@ -164,6 +176,10 @@
             self._note_put(reply, now)
         else:
             self._note_object(reply, now)
+        if self._is_outdated:
+            self._is_outdated = False
+            self._must_read = True
+            self._next_at = now
 
     def _choose_call(self, now: float, may_claim: bool) -> StoreCall | None:
         if self._must_read or self._version is None:
@@ -258,7 +274,9 @@
     def _plan_next(self, now: float) -> None:
         if self.is_ours:
             is_settled = self.valid_until > now and self._unknown_put_at is None
-            if is_settled and self.wish is not Wish.RELEASE:
+            if self.wish is Wish.CLOSE:
+                self._next_at = now + self._jitter(self._timing.poll_seconds)
+            elif is_settled and self.wish is not Wish.RELEASE:
                 self._next_at = now + self._jitter(self._timing.renew_seconds)
             else:
                 self._next_at = now
--- a/src/sardinemill/filters/ledger.py
+++ b/src/sardinemill/filters/ledger.py
@@ -1,5 +1,6 @@
 """Token bucket of one workspace, kept by the owner of its shard."""
 
+import heapq
 from dataclasses import dataclass, replace
 
 from ..limits import (
@@ -56,6 +57,7 @@
         self._updated_at = opened_at
         self._restricted_until = opened_at + stretch_wait(LOAN_LIFETIME_SECONDS)
         self._grants: dict[str, Grant] = {}
+        self._ends: list[tuple[float, str]] = []
         self._asked: dict[str, tuple[float, float]] = {}
 
     @property
@@ -69,10 +71,9 @@
         return self._level
 
     @property
-    def last_end(self) -> float | None:
-        """When the last open loan ends, or ``None``."""
-        ends = [grant.ends_at for grant in self._grants.values() if grant.is_open]
-        return max(ends, default=None)
+    def has_reserve(self) -> bool:
+        """Whether seats hold a part of the plan that they could pledge."""
+        return self._seat_share.get(self._updated_at).burst > 0
 
     def set_shares(self, share: Share, seat_share: Share, now: float) -> None:
         """Apply a change of plan."""
@@ -87,7 +88,14 @@
         self._n_pledged = n_pledged
         self._clamp(now)
 
-    def lend(self, borrow_id: str, borrower: str, n_tokens: float, now: float) -> Grant:
+    def lend(
+        self,
+        borrow_id: str,
+        borrower: str,
+        n_tokens: float,
+        now: float,
+        lifetime_seconds: float = LOAN_LIFETIME_SECONDS,
+    ) -> Grant:
         """Grant tokens, fewer than asked for when the bucket is short.
 
         A repeat of a borrow id gets the same grant.
@@ -100,17 +108,20 @@
         free = max(0.0, min(self._level, self._find_lendable(now) - self._outstanding))
         granted = self._divide(borrower, n_tokens, free, now)
         retry_after = 0.0
-        if granted < n_tokens:
+        # Short only because too much is lent: reports of spent loans make room.
+        is_room_short = granted > 0 and free < self._level
+        if granted < n_tokens and not is_room_short:
             retry_after = self._estimate_retry(n_tokens - granted, now)
         grant = Grant(
             n_tokens=granted,
-            ends_at=now + stretch_wait(LOAN_LIFETIME_SECONDS),
+            ends_at=now + stretch_wait(lifetime_seconds),
             retry_after_seconds=retry_after,
             is_open=granted > 0,
         )
         self._level -= granted
         self._outstanding += granted
         self._grants[borrow_id] = grant
+        heapq.heappush(self._ends, (grant.ends_at, borrow_id))
         return grant
 
     def settle(self, borrow_id: str, n_unspent: float, now: float) -> None:
@@ -126,14 +137,12 @@
 
     def update(self, now: float) -> None:
         """Add the tokens of the time that has passed and end expired loans."""
-        while self._grants:
-            borrow_id, first = next(iter(self._grants.items()))
-            if first.ends_at > now:
-                break
-            self._accrue(first.ends_at)
-            del self._grants[borrow_id]
-            if first.is_open:
-                self._outstanding -= first.n_tokens
+        while self._ends and self._ends[0][0] <= now:
+            ends_at, borrow_id = heapq.heappop(self._ends)
+            self._accrue(ends_at)
+            ended = self._grants.pop(borrow_id)
+            if ended.is_open:
+                self._outstanding -= ended.n_tokens
         if not any(grant.is_open for grant in self._grants.values()):
             # Keeps rounding errors of sums from adding up.
             self._outstanding = 0.0
