--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -234,3 +234,20 @@
                 if fleet.now - at > REFUSAL_LIMIT_SECONDS:
                     assert fleet.list_serving(key) == set()
     assert_never_reverted(fleet)
+
+
+def test_paused_instance_trusts_no_evidence_from_before_its_pause():
+    """Guards against a withdrawn key that works at the first request after a pause,
+    because evidence of an outage was kept as a flag without its time.
+    """
+    fleet = make_fleet(5)
+    fleet.cut_from_store.update(DATA_CENTRES)
+    fleet.run_for(10)
+    paused = fleet.members["instance-0"]
+    assert fleet.list_serving("gone") == set(fleet.members)
+    paused.is_stopped = True
+    fleet.heal()
+    fleet.publish(WithdrawKey("w"))
+    fleet.run_for(REFUSAL_LIMIT_SECONDS)
+    paused.is_stopped = False
+    assert fleet.list_serving("gone") == set()
