--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -197,17 +197,13 @@
 
 
 def _measure_size(size: int) -> list[tuple[str, Costs]]:
-    rows: list[tuple[str, Costs]] = []
-    for phase, change in (
-        ("quiet", None),
-        ("5 failed", _fail_some),
-        ("cut", _cut_regions),
-    ):
-        fleet = MeasuredFleet(size)
-        if change is None:
-            rows.append(("every instance: quiet", fleet.measure(fleet.plain)))
-            rows.append(("relay: quiet", fleet.measure(fleet.relays)))
-            continue
+    """Measure one fleet while it is quiet, with failures, and with a cut as well."""
+    fleet = MeasuredFleet(size)
+    rows = [
+        ("every instance: quiet", fleet.measure(fleet.plain)),
+        ("relay: quiet", fleet.measure(fleet.relays)),
+    ]
+    for phase, change in (("5 failed", _fail_some), ("cut", _cut_regions)):
         change(fleet)
         rows.append((f"every instance: {phase}, onset", fleet.measure(fleet.plain)))
         rows.append((f"every instance: {phase}, later", fleet.measure(fleet.plain)))
