Count a database that restarted empty in no majority

Cause: a restarted database has forgotten its fenced term and its log, but its votes counted. A write held by B and C was lost when B restarted empty, C failed, and homes that had never seen the old incarnation elected A with the vote of B. A write or a fresh read also counted the empty database.

The database now starts with --is-rejoining and reports is_recovering. It takes entries, but accepts no fence and no promotion. Acknowledgement, watermarks, the choice of voters and the reasons for a failover leave it out. It still serves reads, which depend on its log alone.

Ruled out: leaving it to the homes' memory of positions before a restart. A home that started later has none.

Conclusion: safe, but a recovering database is not admitted again yet, so each restart costs its group a slot.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -172,7 +172,7 @@
         *,
         is_new_group: bool = False,
     ) -> None:
-        """Start a database; outside a new group it begins as an empty replica."""
+        """Start a database; outside a new group it rejoins with an empty log."""
         peers = [
             f"{item.name}={item.address}"
             for item in group.databases
@@ -190,6 +190,8 @@
         ]
         if is_new_group and database.slot == 0:
             arguments.append("--is-initial-primary")
+        if not is_new_group:
+            arguments.append("--is-rejoining")
         self.databases[database.name] = self._start(
             database.name, "sardinemill.emulator.database_daemon", arguments
         )
--- a/src/sardinemill/adapters/memory_upstream.py
+++ b/src/sardinemill/adapters/memory_upstream.py
@@ -45,12 +45,15 @@
         for number, database in enumerate(databases):
             self._start(database, is_initial_primary=number == 0)
 
-    def _start(self, name: str, *, is_initial_primary: bool) -> None:
+    def _start(
+        self, name: str, *, is_initial_primary: bool, is_rejoining: bool = False
+    ) -> None:
         database = Database(
             name,
             self.name,
             f"{name}/{next(self._n_starts)}",
             is_initial_primary=is_initial_primary,
+            is_rejoining=is_rejoining,
         )
         self._services[name] = DatabaseService(database, self._read_time)
 
@@ -68,8 +71,8 @@
         return self._services[name].database
 
     def restart(self, name: str) -> None:
-        """Replace a database by an empty replica with a new incarnation."""
-        self._start(name, is_initial_primary=False)
+        """Replace a database by an empty one that recovers in a new incarnation."""
+        self._start(name, is_initial_primary=False, is_rejoining=True)
 
     def replicate(
         self, source: str, target: str, *, last_offset: int | None = None
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -33,6 +33,8 @@
     :param position: last entry of its log.
     :param incarnation: changes when the database restarts.
     :param is_leaving: the database wants no new work.
+    :param is_recovering: a restart has cost the database its fenced term and its log;
+        it counts in no majority, since its earlier votes are forgotten.
     :param asked_at: local monotonic seconds before the question was sent; 0 until the
         adapter sets it.
     :param received_at: local monotonic seconds at receipt; 0 until the adapter sets it.
@@ -45,6 +47,7 @@
     position: LogPosition
     incarnation: str
     is_leaving: bool = False
+    is_recovering: bool = False
     asked_at: float = 0.0
     received_at: float = 0.0
 
--- a/src/sardinemill/emulator/database.py
+++ b/src/sardinemill/emulator/database.py
@@ -51,14 +51,25 @@
 
     :param incarnation: differs after each restart, since the data is in memory.
     :param is_initial_primary: starts a new group as primary of term 1.
+    :param is_rejoining: see :class:`GroupMember`.
     """
 
     def __init__(
-        self, name: str, group: str, incarnation: str, *, is_initial_primary: bool
+        self,
+        name: str,
+        group: str,
+        incarnation: str,
+        *,
+        is_initial_primary: bool,
+        is_rejoining: bool = False,
     ) -> None:
         self.name = name
         self.member = GroupMember(
-            name, group, incarnation, is_initial_primary=is_initial_primary
+            name,
+            group,
+            incarnation,
+            is_initial_primary=is_initial_primary,
+            is_rejoining=is_rejoining,
         )
         self.n_diverged = 0
         self._workspaces: dict[str, WorkspaceData] = {}
--- a/src/sardinemill/emulator/database_daemon.py
+++ b/src/sardinemill/emulator/database_daemon.py
@@ -23,6 +23,7 @@
     peers: tuple[str, ...] = (),
     n_connections: int = 50,
     is_initial_primary: bool = False,
+    is_rejoining: bool = False,
     connect_seconds: float = CONNECT_SECONDS,
 ) -> None:
     """Run one database until SIGTERM.
@@ -38,9 +39,14 @@
     :param peers: the other databases of the group, each as name=host:port.
     :param n_connections: connections accepted at a time.
     :param is_initial_primary: start a new group as primary of term 1; not for restarts.
+    :param is_rejoining: restart of a database that lost its fenced term and its log.
     :param connect_seconds: time that opening a connection takes.
     """
     configure_log()
+    if is_initial_primary and is_rejoining:
+        raise SettingsError(
+            "is-initial-primary and is-rejoining exclude each other", step="start"
+        )
     options = DatabaseOptions(
         description=DatabaseDescription(
             name=name,
@@ -53,6 +59,7 @@
         incarnation=uuid.uuid4().hex,
         peers=dict(_parse_peer(peer) for peer in peers),
         is_initial_primary=is_initial_primary,
+        is_rejoining=is_rejoining,
         connect_seconds=connect_seconds,
     )
     asyncio.run(_run(options))
--- a/src/sardinemill/emulator/database_server.py
+++ b/src/sardinemill/emulator/database_server.py
@@ -54,6 +54,7 @@
         any free port.
     :param peers: the other databases of the group.
     :param is_initial_primary: starts a new group as primary of term 1.
+    :param is_rejoining: starts in place of a database whose state is lost.
     :param connect_seconds: time that opening a database connection takes.
     """
 
@@ -61,6 +62,7 @@
     incarnation: str
     peers: Mapping[str, Address] = field(default_factory=dict)
     is_initial_primary: bool = False
+    is_rejoining: bool = False
     connect_seconds: float = CONNECT_SECONDS
 
 
@@ -82,6 +84,7 @@
             description.group,
             options.incarnation,
             is_initial_primary=options.is_initial_primary,
+            is_rejoining=options.is_rejoining,
         )
         self.service = DatabaseService(database, time.time)
         self._options = options
--- a/src/sardinemill/emulator/member.py
+++ b/src/sardinemill/emulator/member.py
@@ -42,13 +42,24 @@
 
     :param incarnation: differs after each restart, since the log is in memory.
     :param is_initial_primary: starts a new group as primary of term 1.
+    :param is_rejoining: starts in place of a member that may have voted; it takes
+        entries, but accepts no fence and no promotion.
     """
 
     def __init__(
-        self, name: str, group: str, incarnation: str, *, is_initial_primary: bool
+        self,
+        name: str,
+        group: str,
+        incarnation: str,
+        *,
+        is_initial_primary: bool,
+        is_rejoining: bool = False,
     ) -> None:
+        if is_initial_primary and is_rejoining:
+            raise ValueError("a rejoining database is not the primary of a new group")
         self.name = name
         self.is_leaving = False
+        self._is_recovering = is_rejoining
         self._group = group
         self._incarnation = incarnation
         self._log = ReplicatedLog()
@@ -91,6 +102,7 @@
             position=self.position,
             incarnation=self._incarnation,
             is_leaving=self.is_leaving,
+            is_recovering=self._is_recovering,
         )
 
     def fence(self, order: FenceOrder) -> FenceAnswer:
@@ -99,7 +111,7 @@
         A repeat by the same orderer changes nothing, so a late one does not stop a
         primary that it promoted meanwhile.
         """
-        if order.term > self._fenced_term:
+        if order.term > self._fenced_term and not self._is_recovering:
             self._enter_term(order.term, order.orderer)
         return FenceAnswer(
             group=self._group,
@@ -178,7 +190,8 @@
         return AppendResult(answer=answer, removed=removed, added=added)
 
     def _is_fenced_by(self, order: FenceOrder | PromoteOrder) -> bool:
-        return (order.term, order.orderer) == (self._fenced_term, self._orderer)
+        is_same = (order.term, order.orderer) == (self._fenced_term, self._orderer)
+        return is_same and not self._is_recovering
 
     def _enter_term(self, term: int, orderer: str) -> None:
         self._fenced_term = term
--- a/src/sardinemill/filters/acknowledgement.py
+++ b/src/sardinemill/filters/acknowledgement.py
@@ -81,7 +81,8 @@
     def take_report(self, report: DatabaseReport) -> bool:
         """Record a report.
 
-        A position counts only while the database is not fenced above its term. A
+        A position counts only while the database is not fenced above its term, and not
+        while it recovers: it may have forgotten a fence above the term. A
         report that arrives late still proves that the database held the entry, so the
         order of reports does not matter.
 
@@ -90,10 +91,11 @@
         name = report.database
         if self._incarnations.get(name, report.incarnation) != report.incarnation:
             self._held.pop(name, None)
+            self._fenced.pop(name, None)
         self._incarnations[name] = report.incarnation
         before = (self._held.get(name), self._fenced.get(name, 0))
         self._fenced[name] = max(before[1], report.fenced_term)
-        if report.fenced_term <= report.position.term:
+        if report.fenced_term <= report.position.term and not report.is_recovering:
             self._held[name] = max(self.find_held(name), report.position)
             asked_at = self._asked_at.get(name, report.asked_at)
             self._asked_at[name] = max(asked_at, report.asked_at)
--- a/src/sardinemill/filters/positions_table.py
+++ b/src/sardinemill/filters/positions_table.py
@@ -86,7 +86,8 @@
 
     A write acknowledged in a higher term than the primary's was held, and that term's
     fence accepted, by a majority; every majority of the reports would show that term.
-    A write acknowledged in the primary's term or below is in the primary's log.
+    A write acknowledged in the primary's term or below is in the primary's log. A
+    recovering database confirms nothing, as it may have forgotten a higher term.
 
     :param reports: last report of each database.
     :returns: the watermark that starts when the earliest of the needed reports was
@@ -100,7 +101,9 @@
     confirmations: dict[int, float] = {}
     for database in group.databases:
         report = reports.get(database.name)
-        if report is None or database.name == primary.database:
+        if report is None or report.is_recovering:
+            continue
+        if database.name == primary.database:
             continue
         if report.fenced_term <= term and report.position.term <= term:
             asked_at = confirmations.get(database.slot, report.asked_at)
--- a/src/sardinemill/filters/primary_watch.py
+++ b/src/sardinemill/filters/primary_watch.py
@@ -112,18 +112,23 @@
         return [
             name
             for name, report in self._reports.items()
-            if now - report.received_at <= RECENT_SECONDS
+            if now - report.received_at <= RECENT_SECONDS and not report.is_recovering
         ]
 
     def list_forgetful(self) -> list[str]:
-        """Databases that lost entries in a restart and don't have them back.
+        """Databases that recover, or that lost entries and don't have them back.
 
-        Their answer to a fence proves nothing about what they held, unless so many
-        have lost their logs that no majority remains without them.
+        Their answer to a fence proves nothing about what they held. Lost entries are
+        disregarded when no majority remains without these databases; a database that
+        says itself that it recovers never counts.
         """
         names = {item.name for item in self.group.databases}
         can_do_without = has_majority(self.group, names - self._lost.keys())
-        return list(self._lost) if can_do_without else []
+        forgetful = set(self._lost) if can_do_without else set()
+        return sorted(forgetful.union(self._list_recovering()))
+
+    def _list_recovering(self) -> list[str]:
+        return [name for name, item in self._reports.items() if item.is_recovering]
 
     def _learn(self, report: DatabaseReport) -> bool:
         if self.primary is not None and is_out_of_office(
@@ -154,7 +159,9 @@
     def _check_superseded(self, now: float) -> None:
         term = self._primary_term
         fenced = [
-            name for name, report in self._reports.items() if report.fenced_term > term
+            name
+            for name, report in self._reports.items()
+            if report.fenced_term > term and not report.is_recovering
         ]
         if not has_majority(self.group, fenced):
             self._superseded_since = None
@@ -173,7 +180,7 @@
         holders = [
             name
             for name, report in self._reports.items()
-            if report.position >= written.position
+            if report.position >= written.position and not report.is_recovering
         ]
         if has_majority(self.group, holders):
             self._progress_at = now
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -25,7 +25,7 @@
 from sardinemill.errors import Outcome
 from sardinemill.events import Event
 from sardinemill.filters.acknowledgement import Acknowledgement
-from sardinemill.filters.detection import FailureDetector
+from sardinemill.filters.detection import FailureDetector, TimeoutDetector
 from sardinemill.filters.failover import Failover
 from sardinemill.filters.routing import Routing
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
@@ -61,6 +61,7 @@
     ),
 )
 HOMES = ("home0", "home1", "home2")
+GROUPS_CHANGED = GroupsChanged(groups=(GROUP,), homes=((GROUP.name, HOMES),))
 DATABASES = tuple(item.name for item in GROUP.databases)
 REPORT_SECONDS = 0.8
 POSITION_WAIT_SECONDS = 0.25
@@ -78,6 +79,7 @@
     n_starts: int = 1
     is_up: bool = True
     is_leaving: bool = False
+    is_recovering: bool = False
 
     @property
     def position(self) -> LogPosition:
@@ -96,10 +98,11 @@
             position=self.position,
             incarnation=str(self.n_starts),
             is_leaving=self.is_leaving,
+            is_recovering=self.is_recovering,
         )
 
     def fence(self, order: FenceOrder) -> FenceAnswer:
-        if order.term > self.fenced_term:
+        if order.term > self.fenced_term and not self.is_recovering:
             self.fenced_term, self.orderer = order.term, order.orderer
             self.role = Role.REPLICA
         return FenceAnswer(**self._answer(order))
@@ -113,7 +116,8 @@
         return PromoteAnswer(**{**fields, "position": self.position})
 
     def _answer(self, order: FenceOrder | PromoteOrder) -> dict:
-        accepted = (self.fenced_term, self.orderer) == (order.term, order.orderer)
+        is_same = (self.fenced_term, self.orderer) == (order.term, order.orderer)
+        accepted = is_same and not self.is_recovering
         return {
             "group": order.group,
             "database": self.name,
@@ -143,6 +147,7 @@
         self.n_starts += 1
         if loses_log:
             self.log, self.fenced_term, self.orderer = [], 0, ""
+            self.is_recovering = True
 
 
 @dataclass
@@ -195,11 +200,18 @@
             )
             for rank, name in enumerate(HOMES)
         }
-        groups = GroupsChanged(groups=(GROUP,), homes=((GROUP.name, HOMES),))
         for home in self.homes.values():
-            self.deliver(home, home.filters, groups)
+            self.deliver(home, home.filters, GROUPS_CHANGED)
         self._replicate()
 
+    def restart_homes(self) -> None:
+        """Replace the failover filters by new ones that have seen no report."""
+        for rank, home in enumerate(self.homes.values()):
+            home.failover = Failover(
+                home.name, "2", TimeoutDetector(), SeededRandom(rank)
+            )
+            self.deliver(home, [home.failover], GROUPS_CHANGED)
+
     # Time
 
     def at(self, delay: float, action: Callable[[], None]) -> None:
--- a/tests/test_emulator_database.py
+++ b/tests/test_emulator_database.py
@@ -256,6 +256,24 @@
     assert group.get_database("c").position == group.get_database("b").position
 
 
+def test_restarted_member_takes_entries_but_has_no_vote():
+    """Guards against a vote by a database that has forgotten its earlier votes."""
+    group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
+    group.replicate_all()
+    group.restart("b")
+    database = group.get_database("b")
+    order = FenceOrder(group="hives", database="b", term=2, orderer="north")
+    answer = database.fence(order)
+    assert (answer.accepted, answer.fenced_term) == (False, 0)
+    assert group.replicate("a", "b")
+    # The term and the orderer of the log don't give the vote back either.
+    assert database.fenced_term == 1
+    order = PromoteOrder(group="hives", database="b", term=1, orderer="initial")
+    assert not database.promote(order).accepted
+    assert database.report().is_recovering and not database.is_primary
+    assert database.position == group.get_database("a").position
+
+
 def test_idempotency_key_survives_a_change_of_primary():
     """Guards against a second run of a write that is retried with its key."""
     group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -294,6 +294,49 @@
         assert max(model.acknowledged.values()) > world.now - 1.0
 
 
+def test_election_needs_a_majority_without_the_database_that_restarted_empty():
+    """Guards against the loss of an acknowledged write: a replica that held it restarts
+    empty, the primary fails, and homes that never saw the old incarnation elect the
+    lagging replica with the vote of the empty one.
+    """
+    for seed in range(4):
+        world = World(seed, TimeoutDetector, has_chaos=False)
+        model = Model(world)
+        source = random.Random(seed)
+        run_load(model, source, 6.0)
+        primary = max(world.primaries.items())[1]
+        holder, lagging = (name for name in DATABASES if name != primary)
+        cut_replication(world, world.databases[lagging])
+        run_load(model, source, 1.0)
+        world.databases[primary].is_up = False
+        world.databases[holder].restart(loses_log=True)
+        world.restart_homes()
+        world.run(6.0)
+        heal(world)
+        run_load(model, source, 6.0)
+        model.check_end()
+        assert max(model.acknowledged.values()) > world.now - 1.0
+
+
+def test_database_that_restarted_empty_confirms_nothing():
+    """Guards against a write or a fresh read that counts a database which may have
+    promised, before its restart, to accept nothing from this primary.
+    """
+    world = World(1, TimeoutDetector, has_chaos=False)
+    model = Model(world)
+    run_load(model, random.Random(1), 6.0)
+    primary = max(world.primaries.items())[1]
+    restarted, failed = (name for name in DATABASES if name != primary)
+    world.databases[failed].is_up = False
+    world.databases[restarted].restart(loses_log=True)
+    world.run(1.0)
+    assert world.databases[restarted].log == world.databases[primary].log
+    requests = [model.write(home, 0) for home in HOMES]
+    requests += [model.read(home, 1, 0.0) for home in HOMES]
+    world.run(3.5)
+    assert not any(world.find_answer(request_id) for request_id in requests)
+
+
 def order_fences(election: Election, names: tuple[str, ...], world: World) -> list:
     """Carry an election's fences to some databases; return its next orders."""
     orders = [
