Admit a restarted database again once its vote is provably unused

Cause: a recovering database stayed without a vote, so each restart cost its group a slot. filters/readmission.py orders its admission after a round of reports that intersects every majority which may have used the lost vote.

Ruled out: the round of reports alone. An orderer may hold a fence answer of the old incarnation and fence a second database only after the round. Elections therefore ask the majority to confirm its fences, and count a vote only if the same incarnation gives it twice. Crash vectors were ruled out because they need one more write to a majority at each admission.

Tests: order_fences in test_failover carries the second round too. The property of test_emulator_database has restarts, reports and confirmations as steps; it does not read the table of a log that ends before the table's creation, which only a restart produces. Faults of test_failover include a replica that restarts empty, one at a time.

A group whose majority restarts empty stays without writes until operators start it anew.

--- a/src/sardinemill/adapters/memory_upstream.py
+++ b/src/sardinemill/adapters/memory_upstream.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -163,6 +164,11 @@
     async def fence(self, order: FenceOrder) -> FenceAnswer:
         return self._find().fence(order)
 
+    async def admit(self, order: AdmitOrder) -> DatabaseReport:
+        asked_at = self._clock.now()
+        report = self._find().admit(order)
+        return replace(report, asked_at=asked_at, received_at=self._clock.now())
+
     async def promote(self, order: PromoteOrder) -> PromoteAnswer:
         return self._find().promote(order)
 
--- a/src/sardinemill/adapters/prober.py
+++ b/src/sardinemill/adapters/prober.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..control import (
+    AdmitOrder,
     FenceOrder,
     GroupsChanged,
     OrderFailure,
@@ -33,8 +34,8 @@
 # Calls in flight on one control connection; more are answered as failed.
 N_CALLS = 64
 
-Order = FenceOrder | PromoteOrder
-Call = ReportQuery | FenceOrder | PromoteOrder
+Order = FenceOrder | PromoteOrder | AdmitOrder
+Call = ReportQuery | Order
 
 
 class DatabaseProber:
@@ -77,7 +78,7 @@
             while True:
                 await self._inbox.wait(None)
                 message = self._inbox.take()
-                if isinstance(message, ReportQuery | FenceOrder | PromoteOrder):
+                if isinstance(message, Call):
                     self._begin(message)
         finally:
             await self._close_all()
@@ -110,6 +111,8 @@
     async def _make_call(self, connection: ControlConnection, call: Call) -> object:
         if isinstance(call, FenceOrder):
             return await connection.fence(call)
+        if isinstance(call, AdmitOrder):
+            return await connection.admit(call)
         if isinstance(call, PromoteOrder):
             return await connection.promote(call)
         return await connection.report(
@@ -243,7 +246,7 @@
                 message = self._inbox.take()
                 if isinstance(message, GroupsChanged):
                     await self._change_groups(message)
-                elif isinstance(message, ReportQuery | FenceOrder | PromoteOrder):
+                elif isinstance(message, Call):
                     entry = self._probers.get(message.database)
                     if entry is not None:
                         entry[0].offer(message)
--- a/src/sardinemill/adapters/upstream.py
+++ b/src/sardinemill/adapters/upstream.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -27,6 +28,7 @@
 from ..positions import LogPosition
 from .upstream_channel import CallLost, Channel
 from .upstream_frames import (
+    ADMIT,
     ERROR,
     FENCE,
     MAX_FRAME_BYTES,
@@ -149,6 +151,13 @@
             FENCE, order, FenceAnswer, ORDER_TIMEOUT_SECONDS, Outcome.UNKNOWN
         )
 
+    async def admit(self, order: AdmitOrder) -> DatabaseReport:
+        asked_at = self._clock.now()
+        report = await self._call(
+            ADMIT, order, DatabaseReport, ORDER_TIMEOUT_SECONDS, Outcome.UNKNOWN
+        )
+        return replace(report, asked_at=asked_at, received_at=self._clock.now())
+
     async def promote(self, order: PromoteOrder) -> PromoteAnswer:
         return await self._call(
             PROMOTE, order, PromoteAnswer, ORDER_TIMEOUT_SECONDS, Outcome.UNKNOWN
--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -76,18 +76,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FenceOrder:
-    """Asks a database to accept nothing below ``term``."""
+    """Asks a database to accept nothing below ``term``.
+
+    :param is_confirming: asked after a majority accepted; echoed by the answer.
+    """
 
     group: str
     database: str
     term: int
     orderer: str
+    is_confirming: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FenceAnswer:
     """:param accepted: whether the database is now fenced at the order's term by its
     orderer; ``fenced_term`` tells the term in force otherwise.
+    :param incarnation: as in :class:`DatabaseReport`.
     """
 
     group: str
@@ -96,6 +101,24 @@
     accepted: bool
     fenced_term: int
     position: LogPosition
+    incarnation: str = ""
+    is_confirming: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmitOrder:
+    """Tells a recovering database that it may vote again.
+
+    :param term: fenced term that the database must have.
+    :param position: position that its log must have reached.
+    :param incarnation: the only one that may carry out the order.
+    """
+
+    group: str
+    database: str
+    term: int
+    position: LogPosition
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -122,9 +145,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OrderFailure:
-    """A fence or promote call got no answer; its effect is unknown."""
+    """An order got no answer; its effect is unknown."""
 
-    order: FenceOrder | PromoteOrder
+    order: FenceOrder | PromoteOrder | AdmitOrder
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/emulator/database.py
+++ b/src/sardinemill/emulator/database.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -100,6 +101,10 @@
         self._discard_superseded()
         return answer
 
+    def admit(self, order: AdmitOrder) -> DatabaseReport:
+        """See :meth:`GroupMember.admit`."""
+        return self.member.admit(order)
+
     def promote(self, order: PromoteOrder) -> PromoteAnswer:
         """See :meth:`GroupMember.promote`."""
         return self.member.promote(order)
--- a/src/sardinemill/emulator/database_server.py
+++ b/src/sardinemill/emulator/database_server.py
@@ -10,6 +10,7 @@
 from aiohttp import WSMsgType, web
 
 from ..adapters.upstream_frames import (
+    ADMIT,
     APPEND,
     DONE,
     FENCE,
@@ -24,7 +25,7 @@
     encode_error,
     encode_frame,
 )
-from ..control import FenceOrder, PromoteOrder
+from ..control import AdmitOrder, FenceOrder, PromoteOrder
 from ..errors import CodecError, UpstreamError
 from ..events import Event, EventName
 from ..groups import Address, DatabaseDescription
@@ -221,6 +222,8 @@
             return await self.service.report(body.wait_for, body.timeout_seconds)
         if frame.kind == FENCE:
             return self.service.fence(decode_body(frame, FenceOrder, "client"))
+        if frame.kind == ADMIT:
+            return self.service.admit(decode_body(frame, AdmitOrder, "client"))
         if frame.kind == PROMOTE:
             return self.service.promote(decode_body(frame, PromoteOrder, "client"))
         order = decode_body(frame, AppendOrder, "client")
@@ -282,7 +285,7 @@
             return
         try:
             frame = decode_frame(data, "client")
-            if frame.kind not in (RUN, REPORT, FENCE, PROMOTE, APPEND):
+            if frame.kind not in (RUN, REPORT, FENCE, ADMIT, PROMOTE, APPEND):
                 raise CodecError(f"unknown kind {frame.kind}", step="decode")
         except CodecError:
             await socket.close()
--- a/src/sardinemill/emulator/delays.py
+++ b/src/sardinemill/emulator/delays.py
@@ -6,6 +6,7 @@
 
 from ..composition import Edges, PeerLinkPart
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -116,6 +117,13 @@
         await self._clock.sleep(self._delay_seconds)
         return answer
 
+    async def admit(self, order: AdmitOrder) -> DatabaseReport:
+        asked_at = self._clock.now()
+        await self._clock.sleep(self._delay_seconds)
+        report = await self._control.admit(order)
+        await self._clock.sleep(self._delay_seconds)
+        return replace(report, asked_at=asked_at, received_at=self._clock.now())
+
     async def promote(self, order: PromoteOrder) -> PromoteAnswer:
         await self._clock.sleep(self._delay_seconds)
         answer = await self._control.promote(order)
--- a/src/sardinemill/emulator/member.py
+++ b/src/sardinemill/emulator/member.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -120,8 +121,20 @@
             accepted=self._is_fenced_by(order),
             fenced_term=self._fenced_term,
             position=self.position,
+            incarnation=self._incarnation,
+            is_confirming=order.is_confirming,
         )
 
+    def admit(self, order: AdmitOrder) -> DatabaseReport:
+        """Vote again, if the order is for this incarnation and its present term."""
+        if (
+            order.incarnation == self._incarnation
+            and order.term == self._fenced_term
+            and order.position <= self.position
+        ):
+            self._is_recovering = False
+        return self.report()
+
     def promote(self, order: PromoteOrder) -> PromoteAnswer:
         """Become primary of the term for which this member is fenced.
 
--- a/src/sardinemill/emulator/service.py
+++ b/src/sardinemill/emulator/service.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from ..control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -102,6 +103,10 @@
         self.changed.notify()
         return answer
 
+    def admit(self, order: AdmitOrder) -> DatabaseReport:
+        """See :meth:`Database.admit`."""
+        return self.database.admit(order)
+
     def promote(self, order: PromoteOrder) -> PromoteAnswer:
         """See :meth:`Database.promote`."""
         answer = self.database.promote(order)
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -59,6 +59,9 @@
     FAILOVER_ABANDONED = EventKind(
         307, "warning", "An attempt at failover ended without a new primary."
     )
+    ADMISSION_ORDERED = EventKind(
+        308, "info", "A database that restarted empty has caught up and may vote again."
+    )
 
     # 4xx rate limits
     SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
--- a/src/sardinemill/filters/election.py
+++ b/src/sardinemill/filters/election.py
@@ -1,4 +1,4 @@
-"""One attempt to give a group a new primary: fence, choose, promote."""
+"""One attempt to give a group a new primary: fence, confirm, choose, promote."""
 
 from collections.abc import Collection, Sequence
 from enum import StrEnum
@@ -21,6 +21,7 @@
     """Step of an attempt."""
 
     FENCING = "fencing"
+    CONFIRMING = "confirming"
     PROMOTING = "promoting"
     COMPLETED = "completed"
     ABANDONED = "abandoned"
@@ -37,6 +38,11 @@
     becomes the primary of a term that the majority does not accept entries of, so no
     write of it is acknowledged.
 
+    A vote is counted only if the same incarnation confirms it after a majority was
+    fenced. Otherwise an old answer of a database that restarted empty and was admitted
+    at a lower term could elect a primary without the writes acknowledged since; see
+    :mod:`.readmission`.
+
     :param avoided: databases to promote only when no majority does without them, as a
         primary that is leaving or that cannot reach its replicas.
     :param uncounted: databases that are fenced but count for no majority, because a
@@ -62,6 +68,9 @@
         self.positions: dict[str, LogPosition] = {}
         self._avoided = frozenset(avoided)
         self._uncounted = frozenset(uncounted)
+        self._incarnations: dict[str, str] = {}
+        self._voters: set[str] = set()
+        self._confirmed: set[str] = set()
         self._refused: set[str] = set()
         self._deadline = now + FENCE_SECONDS
         self._choose_at = now + ORDER_RETRY_SECONDS
@@ -75,16 +84,10 @@
     def list_orders(self) -> Sequence[Order]:
         """Orders that have no answer yet."""
         if self.phase is Phase.FENCING:
-            return [
-                FenceOrder(
-                    group=self.group.name,
-                    database=item.name,
-                    term=self.term,
-                    orderer=self.orderer,
-                )
-                for item in self.group.databases
-                if item.name not in self.positions and item.name not in self._refused
-            ]
+            names = {item.name for item in self.group.databases}
+            return self._make_fences(names - self.positions.keys() - self._refused)
+        if self.phase is Phase.CONFIRMING:
+            return self._make_fences(self._voters - self._confirmed)
         if self.phase is Phase.PROMOTING:
             return [
                 PromoteOrder(
@@ -96,20 +99,57 @@
             ]
         return []
 
+    def _make_fences(self, databases: Collection[str]) -> Sequence[Order]:
+        return [
+            FenceOrder(
+                group=self.group.name,
+                database=name,
+                term=self.term,
+                orderer=self.orderer,
+                is_confirming=self.phase is Phase.CONFIRMING,
+            )
+            for name in sorted(databases)
+        ]
+
     def take_fence_answer(self, answer: FenceAnswer, now: float) -> Sequence[Order]:
         """Record the answer to a fence; returns the orders that follow."""
         self.highest_fenced_term = max(self.highest_fenced_term, answer.fenced_term)
-        if answer.term != self.term or self.phase is not Phase.FENCING:
+        if answer.term != self.term:
+            return []
+        if self.phase is Phase.CONFIRMING and answer.is_confirming:
+            return self._confirm(answer, now)
+        if self.phase is not Phase.FENCING:
             return []
         if answer.accepted:
             self.positions.setdefault(answer.database, answer.position)
+            self._incarnations.setdefault(answer.database, answer.incarnation)
         elif answer.database not in self.positions:
             self._refused.add(answer.database)
         names = {item.name for item in self.group.databases}
         if not has_majority(self.group, names - self._refused):
             self.phase = Phase.ABANDONED
             return []
-        return self._choose(now)
+        return self._choose_voters(now)
+
+    def _confirm(self, answer: FenceAnswer, now: float) -> Sequence[Order]:
+        name = answer.database
+        is_same = answer.incarnation == self._incarnations.get(name)
+        if answer.accepted and is_same:
+            self._confirmed.add(name)
+        else:
+            self._voters.discard(name)
+            self._confirmed.discard(name)
+        if not has_majority(self.group, self._voters):
+            self.phase = Phase.ABANDONED
+            return []
+        confirmed = self._confirmed & self._voters
+        if not has_majority(self.group, confirmed):
+            return []
+        self.candidate = max(confirmed, key=lambda item: (self.positions[item], item))
+        self.phase = Phase.PROMOTING
+        self._deadline = now + PROMOTE_SECONDS
+        self._retry_at = now + ORDER_RETRY_SECONDS
+        return self.list_orders()
 
     def take_promote_answer(self, answer: PromoteAnswer) -> None:
         """Record the answer to the promotion."""
@@ -123,18 +163,18 @@
 
     def advance(self, now: float) -> Sequence[Order]:
         """Repeat orders that are due, or give up at the deadline."""
-        if self.phase not in (Phase.FENCING, Phase.PROMOTING):
+        if self.phase in (Phase.COMPLETED, Phase.ABANDONED):
             return []
         if now >= self._deadline:
             self.phase = Phase.ABANDONED
             return []
-        orders = self._choose(now)
+        orders = self._choose_voters(now)
         if orders or now < self._retry_at:
             return orders
         self._retry_at = now + ORDER_RETRY_SECONDS
         return self.list_orders()
 
-    def _choose(self, now: float) -> Sequence[Order]:
+    def _choose_voters(self, now: float) -> Sequence[Order]:
         if self.phase is not Phase.FENCING:
             return []
         names = self.positions.keys() - self._uncounted
@@ -146,8 +186,7 @@
             if not may_choose or not has_majority(self.group, names):
                 return []
             preferred = names
-        self.candidate = max(preferred, key=lambda name: (self.positions[name], name))
-        self.phase = Phase.PROMOTING
-        self._deadline = now + PROMOTE_SECONDS
+        self._voters = set(preferred)
+        self.phase = Phase.CONFIRMING
         self._retry_at = now + ORDER_RETRY_SECONDS
         return self.list_orders()
--- a/src/sardinemill/filters/failover.py
+++ b/src/sardinemill/filters/failover.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..control import (
     DatabaseReport,
@@ -25,6 +25,7 @@
 from .election import Election, Order, Phase
 from .positions_table import Primary
 from .primary_watch import PrimaryWatch
+from .readmission import Readmission
 
 # Four questions a second find a silent primary within 1.25 s and cost a home with two
 # groups of three databases 24 small messages a second.
@@ -53,6 +54,7 @@
     homes: tuple[str, ...]
     rank: int
     next_probe: float
+    readmission: Readmission = field(default_factory=Readmission)
     election: Election | None = None
     start_at: float | None = None
     quiet_until: float = float("-inf")
@@ -155,14 +157,15 @@
         if control is None:
             return []
         watch = control.watch
+        admissions = control.readmission.take_report(watch.group, report)
         highest_term = watch.highest_term
         if watch.take_report(report):
             assert watch.primary is not None
-            return self._learn(control, watch.primary)
+            return admissions + self._learn(control, watch.primary)
         if watch.highest_term > highest_term and control.election is None:
             # Another home has begun to order; it is given time to complete.
             self._keep_quiet(control, now, 0.7)
-        return []
+        return admissions
 
     def _take_primary(self, news: PrimaryChanged, now: float) -> list[Emission]:
         control = self._groups.get(news.group)
--- a/src/sardinemill/interfaces.py
+++ b/src/sardinemill/interfaces.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from .control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -194,6 +195,10 @@
 
     async def fence(self, order: FenceOrder) -> FenceAnswer: ...
 
+    async def admit(self, order: AdmitOrder) -> DatabaseReport:
+        """:returns: the state after the order, as :meth:`report` does."""
+        ...
+
     async def promote(self, order: PromoteOrder) -> PromoteAnswer: ...
 
     async def close(self) -> None: ...
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -11,6 +11,7 @@
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import (
+    AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -105,7 +106,18 @@
         if order.term > self.fenced_term and not self.is_recovering:
             self.fenced_term, self.orderer = order.term, order.orderer
             self.role = Role.REPLICA
-        return FenceAnswer(**self._answer(order))
+        return FenceAnswer(
+            **self._answer(order),
+            incarnation=str(self.n_starts),
+            is_confirming=order.is_confirming,
+        )
+
+    def admit(self, order: AdmitOrder) -> DatabaseReport:
+        is_same = order.incarnation == str(self.n_starts)
+        is_in_term = order.term == self.fenced_term
+        if is_same and is_in_term and self.position >= order.position:
+            self.is_recovering = False
+        return self.report()
 
     def promote(self, order: PromoteOrder) -> PromoteAnswer:
         fields = self._answer(order)
@@ -337,6 +349,8 @@
                 return
             if isinstance(call, FenceOrder):
                 answer(database.fence(call))
+            elif isinstance(call, AdmitOrder):
+                answer(database.admit(call))
             elif isinstance(call, PromoteOrder):
                 answer(self._promote(database, call))
             else:
--- a/tests/test_emulator_database.py
+++ b/tests/test_emulator_database.py
@@ -1,13 +1,15 @@
 """Rules of a database group: terms, fences, promotion, transactions, idempotency."""
 
+from dataclasses import replace
 from itertools import permutations, product
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from replication_world import GROUP as WORLD_GROUP
 from sardinemill.adapters.memory_upstream import MemoryGroup
-from sardinemill.control import FenceOrder, PromoteOrder
+from sardinemill.control import AdmitOrder, FenceOrder, PromoteOrder
 from sardinemill.emulator.database import (
     IDEMPOTENCY_KEPT_SECONDS,
     TRANSACTION_IDLE_SECONDS,
@@ -22,12 +24,22 @@
     UpstreamError,
     UpstreamFenced,
 )
+from sardinemill.filters.readmission import Readmission
 from sardinemill.messages import Action, Statement, StatementKind, UpstreamCall
 from sardinemill.positions import LogPosition
 
 NAMES = ("a", "b", "c")
 ORDERERS = ("north", "south")
 N_MAJORITY = 2
+# The first entry of the term and the table; a restarted database lacks them at first.
+N_SETUP_ENTRIES = 2
+GROUP = replace(
+    WORLD_GROUP,
+    databases=tuple(
+        replace(item, name=name)
+        for item, name in zip(WORLD_GROUP.databases, NAMES, strict=True)
+    ),
+)
 
 
 def make_call(sql="", *parameters, action=Action.STATEMENT, **fields):
@@ -61,17 +73,40 @@
 
     def __init__(self):
         self.group = MemoryGroup("hives", NAMES, read_time=lambda: 0.0)
-        self.databases = [self.group.get_database(name) for name in NAMES]
+        self.readmission = Readmission()
+        self.now = 0.0
         self.databases[0].run(1, make_call("create table hive (name text unique)"), 0.0)
         self.group.replicate_all()
         self.written = {}
         self.acknowledged = set()
         self.terms = dict.fromkeys(ORDERERS, 0)
-        # Accepted fences: (term, orderer) -> database -> last position at that time.
+        # Accepted fences: (term, orderer) -> database -> first answer.
         self.votes = {}
+        # The majority that is asked to confirm, and those of it that have.
+        self.voters = {}
+        self.confirmed = {}
         self.chosen = {}
         self.delayed = []
 
+    @property
+    def databases(self):
+        return [self.group.get_database(name) for name in NAMES]
+
+    def restart(self, name):
+        """A database loses its state, unless another one has not recovered yet."""
+        if not any(database.report().is_recovering for database in self.databases):
+            self.group.restart(name)
+            self.observe(name)
+
+    def observe(self, name):
+        """The home sees a report; an order that follows is carried out at once."""
+        self.now += 1.0
+        database = self.group.get_database(name)
+        report = replace(database.report(), asked_at=self.now, received_at=self.now)
+        for emission in self.readmission.take_report(GROUP, report):
+            if isinstance(emission.message, AdmitOrder):
+                database.admit(emission.message)
+
     def write(self, n_writes):
         """Each primary takes writes, also one that does not know its successor."""
         for database in self._find_primaries():
@@ -100,8 +135,9 @@
     def elect(self, orderer, receivers, is_promoting):
         """An orderer learns a term from one database and fences some at the next."""
         self.terms[orderer] = self.group.get_database(receivers[0]).fenced_term + 1
-        for receiver in receivers:
-            self.fence(orderer, receiver)
+        for ask in (self.fence, self.confirm):
+            for receiver in receivers:
+                ask(orderer, receiver)
         if is_promoting:
             self.promote(orderer)
 
@@ -112,15 +148,35 @@
         answer = self.group.get_database(receiver).fence(order)
         if answer.accepted:
             votes = self.votes.setdefault((term, orderer), {})
-            votes.setdefault(receiver, answer.position)
+            votes.setdefault(receiver, answer)
+            if len(votes) >= N_MAJORITY:
+                self.voters.setdefault((term, orderer), set(votes))
+
+    def confirm(self, orderer, receiver):
+        """An orderer whose fences a majority accepted asks one of it again."""
+        term = self.terms[orderer]
+        if receiver not in self.voters.get((term, orderer), ()):
+            return
+        order = FenceOrder(
+            group="hives",
+            database=receiver,
+            term=term,
+            orderer=orderer,
+            is_confirming=True,
+        )
+        answer = self.group.get_database(receiver).fence(order)
+        first = self.votes[term, orderer][receiver]
+        if answer.accepted and answer.incarnation == first.incarnation:
+            self.confirmed.setdefault((term, orderer), set()).add(receiver)
 
     def promote(self, orderer):
         """An orderer with a majority promotes the best database, perhaps again."""
         key = (self.terms[orderer], orderer)
-        votes = self.votes.get(key, {})
-        if len(votes) < N_MAJORITY:
+        names = self.confirmed.get(key, ())
+        if len(names) < N_MAJORITY:
             return
-        best = max(votes, key=lambda name: (votes[name], name))
+        votes = self.votes[key]
+        best = max(names, key=lambda name: (votes[name].position, name))
         best = self.chosen.setdefault(key, best)
         order = PromoteOrder(group="hives", database=best, term=key[0], orderer=orderer)
         if self.group.get_database(best).promote(order).accepted:
@@ -133,6 +189,8 @@
         terms = [database.fenced_term for database in self._find_primaries()]
         assert len(terms) == len(set(terms))
         for database in self.databases:
+            if database.position.offset < N_SETUP_ENTRIES:
+                continue
             logged = [
                 entry.statements[0].parameters[0]
                 for entry in database.member.entries
@@ -145,7 +203,11 @@
         return [database for database in self.databases if database.is_primary]
 
     def _record_acknowledged(self):
-        positions = [database.position for database in self.databases]
+        positions = [
+            database.position
+            for database in self.databases
+            if not database.report().is_recovering
+        ]
         for text, position in self.written.items():
             n_holders = sum(
                 held.term == position.term and held >= position for held in positions
@@ -162,6 +224,9 @@
         ("elect", *item)
         for item in product(ORDERERS, permutations(NAMES, 2), (False, True))
     ],
+    *[("restart", name) for name in NAMES] * 2,
+    *[("observe", name) for name in NAMES] * 6,
+    *[("confirm", *item) for item in product(ORDERERS, NAMES)],
     *[("fence", *item) for item in product(ORDERERS, NAMES)],
     *[("promote", orderer) for orderer in ORDERERS] * 2,
 )
@@ -262,8 +327,8 @@
     group.replicate_all()
     group.restart("b")
     database = group.get_database("b")
-    order = FenceOrder(group="hives", database="b", term=2, orderer="north")
-    answer = database.fence(order)
+    order_fence = FenceOrder(group="hives", database="b", term=2, orderer="north")
+    answer = database.fence(order_fence)
     assert (answer.accepted, answer.fenced_term) == (False, 0)
     assert group.replicate("a", "b")
     # The term and the orderer of the log don't give the vote back either.
@@ -273,6 +338,23 @@
     assert database.report().is_recovering and not database.is_primary
     assert database.position == group.get_database("a").position
 
+    admission = AdmitOrder(
+        group="hives",
+        database="b",
+        term=1,
+        position=database.position,
+        incarnation=database.report().incarnation,
+    )
+    for change in (
+        {"incarnation": "b/0"},
+        {"term": 2},
+        {"position": LogPosition(1, database.position.offset + 1)},
+    ):
+        assert database.admit(replace(admission, **change)).is_recovering
+    for _ in range(2):
+        assert not database.admit(admission).is_recovering
+    assert database.fence(order_fence).accepted
+
 
 def test_idempotency_key_survives_a_change_of_primary():
     """Guards against a second run of a write that is retried with its key."""
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -6,13 +6,14 @@
 from hypothesis import strategies as st
 
 from replication_world import DATABASES, GROUP, HOMES, FakeDatabase, World
+from sardinemill.control import FenceOrder
 from sardinemill.errors import Outcome
 from sardinemill.filters.detection import (
     AccrualDetector,
     ObserverDetector,
     TimeoutDetector,
 )
-from sardinemill.filters.election import Election
+from sardinemill.filters.election import Election, Phase
 from sardinemill.messages import Answer, Refusal, Reply, StatementKind
 from sardinemill.positions import ORIGIN
 
@@ -39,6 +40,7 @@
             "isolate replication",
             "crash",
             "restart",
+            "restart empty",
             "pause",
             "leave",
             "heal",
@@ -140,6 +142,11 @@
         world.databases[database].is_up = False
     elif kind == "restart":
         world.databases[database].restart()
+    elif kind == "restart empty":
+        # The loss of two logs at a time exceeds what a majority of three can bear.
+        is_alone = not any(item.is_recovering for item in world.databases.values())
+        is_replica = database != max(world.primaries.items(), default=(0, ""))[1]
+        world.databases[database].restart(loses_log=is_alone and is_replica)
     elif kind == "pause":
         world.pause(world.homes[home], 0.4 + other)
     elif kind == "leave":
@@ -337,14 +344,65 @@
     assert not any(world.find_answer(request_id) for request_id in requests)
 
 
+def test_readmitted_database_restores_the_fault_tolerance():
+    """Guards against a group that loses a slot with each restart, and against the loss
+    of a write when the other database fails after the admission.
+    """
+    for seed in range(4):
+        world = World(seed, TimeoutDetector, has_chaos=seed % 2 == 0, n_replicated=5)
+        model = Model(world)
+        source = random.Random(seed)
+        run_load(model, source, 6.0)
+        for _ in range(3):
+            primary = max(world.primaries.items())[1]
+            restarted, failed = (name for name in DATABASES if name != primary)
+            world.databases[restarted].restart(loses_log=True)
+            run_load(model, source, 3.0)
+            assert not world.databases[restarted].is_recovering
+            world.databases[failed].is_up = False
+            run_load(model, source, 2.0)
+            assert max(model.acknowledged.values()) > world.now - 1.0
+            world.databases[primary].is_up = False
+            heal(world)
+            run_load(model, source, 6.0)
+        model.check_end()
+
+
+def test_vote_of_an_old_incarnation_elects_nobody():
+    """Guards against a fence answer from before a restart that is counted after the
+    database was admitted at a lower term and has taken part in an acknowledgement.
+    """
+    world = World(1, TimeoutDetector, has_chaos=False)
+    run_load(Model(world), random.Random(1), 6.0)
+    term, primary = max(world.primaries.items())
+    restarted, other = (name for name in DATABASES if name != primary)
+    election = Election(GROUP, term + 1, "late/1", avoided=(), now=world.now)
+    fences = {order.database: order for order in election.list_orders()}
+    voter = world.databases[restarted]
+    assert not election.take_fence_answer(voter.fence(fences[restarted]), world.now)
+    voter.restart(loses_log=True)
+    world.run(3.0)
+    assert not voter.is_recovering and voter.fenced_term == term
+    answer = world.databases[other].fence(fences[other])
+    (confirmation, *_) = election.take_fence_answer(answer, world.now)
+    for order in election.list_orders():
+        answer = world.databases[order.database].fence(order)
+        assert not election.take_fence_answer(answer, world.now)
+    assert confirmation.is_confirming and election.phase is Phase.ABANDONED
+
+
 def order_fences(election: Election, names: tuple[str, ...], world: World) -> list:
-    """Carry an election's fences to some databases; return its next orders."""
-    orders = [
-        election.take_fence_answer(world.databases[order.database].fence(order), 0.0)
-        for order in election.list_orders()
-        if order.database in names
-    ]
-    return list(orders[-1])
+    """Carry an election's fences to some databases; return the promotion."""
+    orders = election.list_orders()
+    while isinstance(orders[0], FenceOrder):
+        orders = [
+            election.take_fence_answer(
+                world.databases[order.database].fence(order), 0.0
+            )
+            for order in orders
+            if order.database in names
+        ][-1]
+    return list(orders)
 
 
 def test_paused_orderer_makes_no_second_primary():
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,7 @@
 from sardinemill.adapters.clocks import SystemClock
 from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
 from sardinemill.adapters.upstream import WebSocketConnector
-from sardinemill.control import FenceOrder, PromoteOrder, Role
+from sardinemill.control import AdmitOrder, FenceOrder, PromoteOrder, Role
 from sardinemill.emulator.database_server import DatabaseOptions, DatabaseServer
 from sardinemill.errors import (
     Outcome,
@@ -79,6 +79,9 @@
     def replicate(self):
         self._group.replicate_all()
 
+    async def restart(self, name):
+        self._group.restart(name)
+
 
 class SocketWorld:
     """Three servers on loopback ports that replicate by themselves."""
@@ -125,6 +128,20 @@
     def replicate(self):
         """The replication tasks do it."""
 
+    async def restart(self, name):
+        await self.servers[name].stop()
+        options = DatabaseOptions(
+            description=describe(name),
+            incarnation=f"{name}/2",
+            is_rejoining=True,
+            connect_seconds=0.0,
+        )
+        self.servers[name] = DatabaseServer(options, SystemClock())
+        await self.servers[name].start()
+        for peer, server in self.servers.items():
+            if peer != name:
+                server.add_peer(name, self.servers[name].description.address)
+
     async def set_faults(self, name, **fields):
         url = f"http://{self.servers[name].description.address}/faults"
         async with (
@@ -253,6 +270,40 @@
     run_in_world(scenario)
 
 
+def test_restarted_database_votes_after_its_admission(run_in_world):
+    """Guards against back ends that lose the recovery of a database, or the order that
+    ends it.
+    """
+
+    async def scenario(world):
+        connection = await create_hive(world)
+        written = await connection.run(INSERT)
+        await world.restart("b")
+        control = await world.connect_control("b")
+        fence = FenceOrder(group="hives", database="b", term=2, orderer="north")
+        assert not (await control.fence(fence)).accepted
+        world.replicate()
+        report = await control.report(wait_for=written.position, timeout_seconds=30)
+        assert report.is_recovering and report.position == written.position
+        order = AdmitOrder(
+            group="hives",
+            database="b",
+            term=1,
+            position=written.position,
+            incarnation="b/0",
+        )
+        assert (await control.admit(order)).is_recovering
+        order = replace(order, incarnation=report.incarnation)
+        admitted = await control.admit(order)
+        assert not admitted.is_recovering
+        assert report.received_at <= admitted.asked_at <= admitted.received_at
+        answer = await control.fence(replace(fence, is_confirming=True))
+        assert answer.accepted and answer.is_confirming
+        assert answer.incarnation == report.incarnation
+
+    run_in_world(scenario)
+
+
 INSERT = make_call("insert into hive values ('x', 1, null)")
 READ = make_call("select name from hive")
 
