--- a/src/sardinemill/control.py
+++ b/src/sardinemill/control.py
@@ -33,6 +33,8 @@
     :param position: last entry of its log.
     :param incarnation: changes when the database restarts.
     :param is_leaving: the database wants no new work.
+    :param is_recovering: a restart has cost the database its fenced term and its log;
+        it counts in no majority, since its earlier votes are forgotten.
     :param asked_at: local monotonic seconds before the question was sent; 0 until the
         adapter sets it.
     :param received_at: local monotonic seconds at receipt; 0 until the adapter sets it.
@@ -45,6 +47,7 @@
     position: LogPosition
     incarnation: str
     is_leaving: bool = False
+    is_recovering: bool = False
     asked_at: float = 0.0
     received_at: float = 0.0
 
@@ -73,18 +76,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FenceOrder:
-    """Asks a database to accept nothing below ``term``."""
+    """Asks a database to accept nothing below ``term``.
+
+    :param is_confirming: asked after a majority accepted; echoed by the answer.
+    """
 
     group: str
     database: str
     term: int
     orderer: str
+    is_confirming: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FenceAnswer:
     """:param accepted: whether the database is now fenced at the order's term by its
     orderer; ``fenced_term`` tells the term in force otherwise.
+    :param incarnation: as in :class:`DatabaseReport`.
     """
 
     group: str
@@ -93,6 +101,24 @@
     accepted: bool
     fenced_term: int
     position: LogPosition
+    incarnation: str = ""
+    is_confirming: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmitOrder:
+    """Tells a recovering database that it may vote again.
+
+    :param term: fenced term that the database must have.
+    :param position: position that its log must have reached.
+    :param incarnation: the only one that may carry out the order.
+    """
+
+    group: str
+    database: str
+    term: int
+    position: LogPosition
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,9 +145,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OrderFailure:
-    """A fence or promote call got no answer; its effect is unknown."""
+    """An order got no answer; its effect is unknown."""
 
-    order: FenceOrder | PromoteOrder
+    order: FenceOrder | PromoteOrder | AdmitOrder
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
