Export metrics of an instance to a file

Cause: telemetry.py was not wired, and half of its metrics had no source.

A Tap in the composition root shows copies of requests, replies and control messages to Measurements, so no filter knows of metrics. Without the setting no Tap is made.

Ruled out: a FanOut at the front end's pipeline, which would also show requests that the first inbox refused; these get no reply through the outlets.

Metrics without a source (queue time by workspace, failover time, store calls, bytes to peers) are removed.

--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -57,7 +57,7 @@
     UpstreamConnector,
 )
 from .limits import LimitSettings
-from .outlets import EnvelopeRouter, FanOut, TypeRouter
+from .outlets import EnvelopeRouter, FanOut, Tap, TypeRouter
 from .pipeline import Stage
 from .records import JsonLeaseCodec
 from .settings import Settings
@@ -91,6 +91,7 @@
     :param make_peer_link: makes the link, given the receiver of envelopes.
     :param stop: receives :class:`~sardinemill.control.DrainOrdered`.
     :param parts: adapters with a life cycle, started before everything else.
+    :param observer: receives copies of the messages that are counted, if any.
     """
 
     clock: Clock
@@ -101,6 +102,7 @@
     make_peer_link: Callable[[Outlet], PeerLinkPart]
     stop: Outlet
     parts: tuple[Part, ...] = ()
+    observer: Outlet | None = None
 
 
 class Instance:
@@ -178,7 +180,7 @@
         return HttpFrontEnd(
             settings.front_host,
             settings.front_port,
-            pipeline=self._stages["authentication"],
+            pipeline=self._observe(self._stages["authentication"]),
             board=self._board,
             signer=TokenSigner(settings.fleet_secret),
             clock=self._edges.clock,
@@ -250,13 +252,13 @@
 
     def _bind_request_path(self) -> None:
         stages = self._stages
-        replies = self.front_end
+        replies = self._observe(self.front_end)
         link = self._link
         for step, follower in (
-            ("authentication", "classification"),
-            ("classification", "admission"),
+            ("authentication", stages["classification"]),
+            ("classification", self._observe(stages["admission"])),
         ):
-            self._bind(step, {"next": stages[follower], "reply": replies})
+            self._bind(step, {"next": follower, "reply": replies})
         self._bind(
             "admission",
             {
@@ -298,7 +300,7 @@
             {
                 "execution": self._pools,
                 "executed": stages["routing"],
-                "routing": stages["routing"],
+                "routing": self._observe(stages["routing"]),
                 "reply": stages["reception"],
             },
         )
@@ -434,7 +436,12 @@
         return self._adapters[f"{step} store"]  # type: ignore[return-value]
 
     def _board_outlet(self) -> Outlet:
-        return self.front_end
+        return self._observe(self.front_end)
+
+    def _observe(self, receiver: Outlet) -> Outlet:
+        """Show the observer, if any, what the receiver accepts."""
+        observer = self._edges.observer
+        return receiver if observer is None else Tap(receiver, observer)
 
     def _report_unbound(self, emission: Emission) -> None:
         fields = {
--- a/src/sardinemill/daemon.py
+++ b/src/sardinemill/daemon.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from .adapters.clocks import SystemClock, SystemRandom
+from .adapters.metrics_file import MetricsFile
 from .adapters.peers import ZmqPeerLink
 from .adapters.store import HttpStore
 from .adapters.upstream import WebSocketConnector
@@ -16,6 +17,7 @@
 from .groups import Address
 from .interfaces import Outlet
 from .journal import open_journal
+from .measurements import Measurements
 from .settings import Settings, read_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -59,6 +61,7 @@
         )
 
     stopping = asyncio.Event()
+    metrics = MetricsFile(settings) if settings.metrics_file else None
     edges = Edges(
         clock=clock,
         random_source=random_source,
@@ -67,7 +70,8 @@
         events=journal,
         make_peer_link=make_peer_link,
         stop=StopOutlet(stopping),
-        parts=(store, connector),
+        parts=(store, connector) if metrics is None else (metrics, store, connector),
+        observer=None if metrics is None else Measurements(metrics, clock),
     )
     instance = Instance(settings, change_edges(edges, settings))
     loop = asyncio.get_running_loop()
--- a/src/sardinemill/outlets.py
+++ b/src/sardinemill/outlets.py
@@ -24,6 +24,23 @@
         return all([receiver.offer(message) for receiver in self._receivers])
 
 
+class Tap:
+    """Hands messages to a receiver and shows an observer those it accepted.
+
+    A message that the receiver refuses has no further course to observe.
+    """
+
+    def __init__(self, receiver: Outlet, observer: Outlet) -> None:
+        self._receiver = receiver
+        self._observer = observer
+
+    def offer(self, message: object) -> bool:
+        is_accepted = self._receiver.offer(message)
+        if is_accepted:
+            self._observer.offer(message)
+        return is_accepted
+
+
 class EnvelopeRouter:
     """Sorts received envelopes by the type of their message.
 
--- a/src/sardinemill/settings.py
+++ b/src/sardinemill/settings.py
@@ -15,6 +15,8 @@
 
 ENVIRONMENT_PREFIX = "SARDINEMILL_"
 MIN_SECRET_BYTES = 32
+# The exporter waits for this interval; near zero it would export without a pause.
+MIN_METRICS_SECONDS = 0.1
 REQUIRED = frozenset({"name", "data_centre", "store_url", "fleet_secret"})
 
 
@@ -67,6 +69,8 @@
     :param log_level: lowest level that is logged.
     :param detector: failure detector of primaries.
     :param queue_policy: order of queued requests.
+    :param metrics_file: path to which metrics are appended; empty means none.
+    :param metrics_seconds: time between two exports of metrics.
     """
 
     name: str
@@ -83,6 +87,8 @@
     log_level: LogLevel = LogLevel.INFO
     detector: DetectorName = DetectorName.OBSERVERS
     queue_policy: QueuePolicyName = QueuePolicyName.FAIR
+    metrics_file: str = ""
+    metrics_seconds: float = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -150,6 +156,13 @@
     return seconds
 
 
+def _check_interval(text: str) -> float:
+    seconds = _check_seconds(text)
+    if seconds < MIN_METRICS_SECONDS:
+        raise ValueError(f"at least {MIN_METRICS_SECONDS} seconds are needed")
+    return seconds
+
+
 def _check_secret(text: str) -> bytes:
     if len(text.encode()) < MIN_SECRET_BYTES:
         raise ValueError(f"at least {MIN_SECRET_BYTES} bytes are needed")
@@ -180,6 +193,8 @@
     "log_level": _choose_from(LogLevel),
     "detector": _choose_from(DetectorName),
     "queue_policy": _choose_from(QueuePolicyName),
+    "metrics_file": str,
+    "metrics_seconds": _check_interval,
 }
 
 
@@ -198,6 +213,8 @@
     log_level: str = "",
     detector: str = "",
     queue_policy: str = "",
+    metrics_file: str = "",
+    metrics_seconds: str = "",
     print_example: bool = False,
 ) -> dict[str, object]:
     """Run an instance of sardinemill.
@@ -219,6 +236,8 @@
     :param log_level: debug, info, warning or error
     :param detector: timeout, observers or accrual
     :param queue_policy: fifo or fair
+    :param metrics_file: path of the metrics; none by default
+    :param metrics_seconds: time between two exports of metrics
     :param print_example: print an example environment and exit
     """
     return dict(locals())
--- a/src/sardinemill/telemetry.py
+++ b/src/sardinemill/telemetry.py
@@ -35,29 +35,36 @@
 class Metric(Enum):
     """All metrics; the name on the wire is ``sardinemill.`` and the lower-case name."""
 
-    REQUESTS = MetricKind("counter", "{request}", "Answered requests.", ("kind",))
+    REQUESTS = MetricKind(
+        "counter", "{request}", "Answered requests.", ("kind", "role")
+    )
     REFUSALS = MetricKind(
         "counter", "{request}", "Refused requests.", ("code", "outcome")
     )
-    REPLICA_READS = MetricKind("counter", "{request}", "Reads served by a replica.")
+    CANCELLATIONS = MetricKind(
+        "counter", "{request}", "Requests that ended without a reply."
+    )
     REQUEST_SECONDS = MetricKind(
         "histogram", "s", "Time from receipt to reply.", ("kind",)
     )
-    QUEUE_SECONDS = MetricKind(
-        "histogram", "s", "Time in the queue of a database.", ("workspace",)
+    QUEUED = MetricKind("gauge", "{request}", "Requests in queues.", ("database",))
+    RUNNING = MetricKind("gauge", "{request}", "Requests that run.", ("database",))
+    SERVICE_SECONDS = MetricKind(
+        "gauge", "s", "Smoothed time of a request on a connection.", ("database",)
     )
-    QUEUED = MetricKind("gauge", "{request}", "Requests in queues.", ("group",))
-    FAILOVER_SECONDS = MetricKind(
-        "histogram", "s", "Time without a primary.", ("group",)
+    PRIMARY_CHANGES = MetricKind(
+        "counter", "{change}", "Primaries learned of a higher term.", ("group",)
     )
+    PRIMARY_TERM = MetricKind("gauge", "1", "Term of the primary.", ("group",))
+    HOME_GROUPS = MetricKind(
+        "gauge", "{group}", "Database groups whose home the instance is."
+    )
+    LIVE_INSTANCES = MetricKind("gauge", "{instance}", "Instances that take new work.")
+    LEAVING_INSTANCES = MetricKind("gauge", "{instance}", "Instances that drain.")
     CONFIGURATION_VERSION = MetricKind("gauge", "1", "Configuration in force.")
     CONFIRMED_AGE_SECONDS = MetricKind(
-        "gauge", "s", "Age of the configuration's confirmation."
-    )
-    STORE_CALLS = MetricKind(
-        "counter", "{call}", "Calls to the store.", ("operation", "outcome")
+        "gauge", "s", "Age of the confirmation when it arrived."
     )
-    PEER_BYTES = MetricKind("counter", "By", "Bytes to other instances.", ("type",))
 
 
 class Telemetry(Protocol):
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -108,9 +108,15 @@
 
 
 class MemoryFleet:
-    """Instances, one database group and the platform in this process."""
+    """Instances, one database group and the platform in this process.
 
-    def __init__(self, n_instances: int = 3) -> None:
+    :param parts: parts of every instance.
+    :param observer: as of :class:`~sardinemill.composition.Edges`.
+    """
+
+    def __init__(self, n_instances: int = 3, parts=(), observer=None) -> None:
+        self.parts = parts
+        self.observer = observer
         self.clock = SystemClock()
         self.random = SeededRandom(7)
         self.group = MemoryGroup("hives", DATABASES)
@@ -140,6 +146,8 @@
             events=self.events,
             stop=self.stops,
             make_peer_link=lambda sink: MemoryPeerLink(name, self.hub, sink),
+            parts=self.parts,
+            observer=self.observer,
         )
         self.instances[name] = Instance(settings, edges)
 
