--- /dev/null
+++ b/tests/test_documentation.py
@@ -0,0 +1,87 @@
+"""The operators' pages against the code that they describe."""
+
+import re
+import shlex
+from pathlib import Path
+
+from sardinemill.commands import COMMANDS
+from sardinemill.events import Event, EventName, format_catalogue
+from sardinemill.journal import Journal
+from sardinemill.messages import RefusalCode
+from test_cli import OperatorDesk
+
+DOCS = Path(__file__).parents[1] / "docs"
+PAGE = (DOCS / "operators.md").read_text()
+COMMAND = re.compile(r"^    \$ sardinemill (.*)$", re.MULTILINE)
+
+
+def test_page_of_events_equals_the_catalogue():
+    """Guards against a page of events that differs from the code."""
+    assert (DOCS / "events.md").read_text() == format_catalogue()
+
+
+def test_operators_page_covers_every_refusal_event_and_failure():
+    """Guards against a refusal, an alarming event or a failure of the design for which
+    an operator finds no advice.
+    """
+    rows = set(re.findall(r"^\| `([^`]+)` \|.*\S \|$", PAGE, re.MULTILINE))
+    assert {code.value for code in RefusalCode} <= rows
+    alarming = {
+        name.name.lower()
+        for name in EventName
+        if name.value.level in ("warning", "error")
+    }
+    assert alarming <= rows
+    design = (DOCS / "design.md").read_text()
+    table = design.partition("## 12.")[2].partition("## 13.")[0]
+    failures = re.findall(r"^\| (?!component)(\w[^|]*) \|", table, re.MULTILINE)
+    assert len(failures) == PAGE.count("\n### ")
+
+
+def list_commands(group, words=()):
+    """Yield the words of every command."""
+    for name, command in group.items():
+        if callable(command):
+            yield (*words, name)
+        else:
+            yield from list_commands(command, (*words, name))
+
+
+def write_files(directory):
+    """Write the lists that the page shows and two logs."""
+    for name, text in re.findall(r"^    \$ cat (\S+)\n    (.*)$", PAGE, re.MULTILINE):
+        (directory / name).write_text(text)
+    (directory / "logs").mkdir()
+    for instance in ("a", "b"):
+        with (directory / "logs" / f"{instance}.jsonl").open("w") as file:
+            journal = Journal(file, instance=instance, data_centre="x")
+            journal.offer(Event(EventName.PRIMARY_LEARNED, {"group": "books"}))
+
+
+def test_every_command_of_the_operators_page_runs(tmp_path, monkeypatch):
+    """Guards against a command on the page that fails, and against one in the code
+    that the page lacks.
+    """
+    monkeypatch.chdir(tmp_path)
+    write_files(tmp_path)
+    desk = OperatorDesk(tmp_path)
+    desk.seed()
+    for number in range(40):
+        burst = str(10 + (number + 1) % 2)
+        assert desk.run("plan", "change", "small", "--burst", burst) == 0
+    given = ""
+    shown = COMMAND.findall(PAGE)
+    assert len(shown) == len(re.findall(r"\$ sardinemill ", PAGE))
+    for line in shown:
+        words = shlex.split(line.replace("loans-1f0c9a7e", given), comments=True)
+        arguments = [
+            path
+            for word in words
+            for path in (sorted(map(str, Path().glob(word))) if "*" in word else [word])
+        ]
+        assert desk.run(*arguments, answer="yes\n") == 0, (line, desk.output)
+        found = re.search(r"key (loans-\w+), shown only now", desk.output)
+        given = found[1] if found else given
+    assert (tmp_path / "picture.html").read_text().startswith("<!DOCTYPE html>")
+    for words in list_commands(COMMANDS):
+        assert any(" ".join(words) in line for line in shown), words
