Explain why outage evidence extends no shard lease

Extending them while ConfigurationConfirmed reports the store down everywhere, with takers that wait for fresh confirmations, was considered.

Ruled out: the timing argument needs the taker's wait to begin after the relay that the owner's evidence names has recovered. The taker's confirmations may come from another relay, or from itself when it is cut off from its peers. Requiring reports of all known relays changes nothing in the case of one instance, where both relays of its data centre report.

Conclusion: the sum bound has no proof under this rule; it is not built. Seats stay as they are.

--- a/src/sardinemill/filters/leasing.py
+++ b/src/sardinemill/filters/leasing.py
@@ -6,6 +6,11 @@
 148 writes/s and 95 reads/s. A start adds 16 reads and a write for the seat. During a
 store outage each of at most 1,472 objects is tried every 2 to 6 s (368 calls/s on
 average), spread at random.
+
+An outage extends no lease, also when relays of every data centre report it: an instance
+that is cut off from these relays may reach the store, see the lease unchanged for its
+life and take it over. Its own relay confirms meanwhile that the store is reachable, so
+no rule on confirmations tells it to wait.
 """
 
 from collections.abc import Sequence
