Measure the proxy at the target rate of one instance

The closed loop shows the cost at high load, not at the 322 statements a second that the target size asks of each instance. An open loop with 40% stale reads, 40% fresh reads and 20% writes shows it as shares of a core.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -5,6 +5,8 @@
 WebSocket connections to the same stand-ins in the same run; the difference of the
 latencies is what the proxy adds. A write through the proxy also waits for a majority of
 slots, which a direct write does not.
+
+A second table shows an open loop at the rate that the target size asks of an instance.
 """
 
 import asyncio
@@ -20,7 +22,15 @@
 
 from sardinemill.adapters.clocks import SystemClock
 from sardinemill.adapters.upstream import WebSocketConnector
-from sardinemill.emulator.load import CREATE_SQL, INSERT_SQL, READ_SQL
+from sardinemill.emulator.load import (
+    CREATE_SQL,
+    INSERT_SQL,
+    READ_SQL,
+    LoadPlan,
+    LoadRunner,
+    WorkspaceLoad,
+    make_histogram,
+)
 from sardinemill.groups import choose_homes
 from sardinemill.messages import Action, Statement, StatementKind, UpstreamCall
 
@@ -37,6 +47,9 @@
 LAG_SECONDS = 0.0015
 STALENESS_SECONDS = 5.0
 SETTLE_SECONDS = 4.0
+# 200,000 statements a second over 620 instances.
+TARGET_RATE = 322.0
+TARGET_SECONDS = 10.0
 RANDOM_STATE = 1
 WORKSPACE = "bees"
 # Three instances are homes of the only group, so the fourth is an entry alone.
@@ -234,6 +247,45 @@
     }
 
 
+async def measure_target(
+    deployment: Deployment, scenario: str, entry: str, home: str
+) -> dict[str, object]:
+    """Send the target rate to one entry: 40% stale reads, 40% fresh reads, 20% writes.
+
+    :returns: the columns of the result; processor time as a share of one core.
+    """
+    load = WorkspaceLoad(
+        workspace=WORKSPACE,
+        key=deployment.keys[WORKSPACE],
+        rate_per_second=TARGET_RATE,
+        n_sessions=64,
+    )
+    plan = LoadPlan(
+        workspaces=(load,),
+        urls=(deployment.front_url(entry),),
+        duration_seconds=TARGET_SECONDS,
+        random_state=RANDOM_STATE,
+    )
+    before, begin = _read_cpu(deployment), time.monotonic()
+    report = await LoadRunner(plan, SystemClock()).run()
+    seconds = time.monotonic() - begin
+    used = _read_cpu(deployment)
+    histogram = make_histogram(report.samples)
+    n_answered = sum(not sample.error for sample in report.samples)
+    return {
+        "scenario": scenario,
+        "statement": "mix at target rate",
+        "answered": n_answered,
+        "failed": len(report.samples) - n_answered,
+        "violations": len(report.violations),
+        "rate_per_s": round(n_answered / seconds, 1),
+        "median_ms": round(histogram.get_value_at_percentile(50) / 1000, 2),
+        "p99_ms": round(histogram.get_value_at_percentile(99) / 1000, 2),
+        "entry_cores": round((used[entry] - before[entry]) / seconds, 3),
+        "home_cores": round((used[home] - before[home]) / seconds, 3),
+    }
+
+
 def _read_cpu(deployment: Deployment) -> dict[str, float]:
     return {
         name: process.read_cpu_seconds()
@@ -265,7 +317,7 @@
 
 async def _measure_deployment(
     deployment: Deployment, scenario: str
-) -> list[dict[str, object]]:
+) -> tuple[list[dict[str, object]], dict[str, object]]:
     names = [(name, "dc-0") for name in deployment.instances]
     homes = choose_homes("group-0", names)
     entry = next((name for name in deployment.instances if name not in homes), homes[0])
@@ -277,12 +329,13 @@
                 deployment, entry, homes[0], statement, n_callers
             )
             rows.append({"scenario": scenario, **columns})
-    return rows
+    return rows, await measure_target(deployment, scenario, entry, homes[0])
 
 
 def run_throughput(scenarios: Sequence[str]) -> None:
-    """Measure the scenarios, print a table and append the rows to the results."""
+    """Measure the scenarios, print two tables and append the rows to the results."""
     rows: list[dict[str, object]] = []
+    target_rows: list[dict[str, object]] = []
     for scenario in scenarios:
         n_instances = SIZES[scenario]
         with (
@@ -292,8 +345,12 @@
             asyncio.run(deployment.put_configuration())
             deployment.start_instances()
             time.sleep(SETTLE_SECONDS)
-            rows += asyncio.run(_measure_deployment(deployment, scenario))
+            loops, target = asyncio.run(_measure_deployment(deployment, scenario))
+            rows += loops
+            target_rows.append(target)
     print_table(rows)
+    print_table(target_rows)
+    rows += target_rows
     fixed = {
         "random_state": RANDOM_STATE,
         "n_connections": N_CONNECTIONS,
