--- a/src/sardinemill/filters/positions_table.py
+++ b/src/sardinemill/filters/positions_table.py
@@ -207,10 +207,12 @@
 
     def find_watermark(self, started_at: float) -> Watermark | None:
         """Return the lowest watermark that began at ``started_at`` or later."""
+        if not self._watermarks or self._watermarks[-1].started_at < started_at:
+            return None
         index = bisect_left(
             self._watermarks, started_at, key=lambda item: item.started_at
         )
-        return self._watermarks[index] if index < len(self._watermarks) else None
+        return self._watermarks[index]
 
     def estimate_catch_up(
         self, database: str, requirement: LogPosition, now: float
@@ -296,4 +298,9 @@
         if state.lag_seconds is not None:
             lag = state.lag_seconds + LAG_WEIGHT * (lag - state.lag_seconds)
         if lag != state.lag_seconds:
-            self._states[database] = replace(state, lag_seconds=lag)
+            self._states[database] = DatabaseState(
+                report=state.report,
+                position=state.position,
+                lag_seconds=lag,
+                failed_at=state.failed_at,
+            )
