--- a/src/sardinemill/filters/heartbeats.py
+++ b/src/sardinemill/filters/heartbeats.py
@@ -17,6 +17,9 @@
 # The platform's list lags, so others learn a new instance from its announcements.
 ANNOUNCEMENT_SECONDS = 10.0
 START_SECONDS = 30.0
+# Several monitors may report the same instance at once; less than the time after which
+# it becomes doubtful.
+REFUTATION_SECONDS = 1.0
 # Repairs what lost announcements and different lists leave behind.
 LISTED_ANNOUNCEMENT_SECONDS = 300.0
 
@@ -51,6 +54,7 @@
         self._announce_at = -math.inf
         self._greetings: dict[str, tuple[float, ...]] = {}
         self._greet_at = math.inf
+        self._refuted_at = -math.inf
 
     @property
     def next_tick(self) -> float:
@@ -104,6 +108,15 @@
         self._announce_at = now + seconds * self._spread
         return _send("*", self._make(introduces=True))
 
+    def refute(self, names: Collection[str], now: float) -> Iterator[Emission]:
+        """Show instances that hold a report about this one that it lives."""
+        if now < self._refuted_at + REFUTATION_SECONDS:
+            return
+        self._refuted_at = now
+        heartbeat = self._make(introduces=True)
+        for name in names:
+            yield _send(name, heartbeat)
+
     def _greet(self, n_members: int, now: float) -> Iterator[Emission]:
         due = [name for name, times in self._greetings.items() if times[0] <= now]
         for name in due:
--- a/src/sardinemill/filters/membership.py
+++ b/src/sardinemill/filters/membership.py
@@ -23,6 +23,7 @@
 from .heartbeats import HEARTBEAT_SECONDS, LISTED_ANNOUNCEMENT_SECONDS, Heartbeats
 from .instance_lists import InstanceLists
 from .monitors import MonitorTable
+from .signs import Sign
 from .suspicion import SILENCE_SECONDS, Suspicion
 from .suspicion_reports import ReportSchedule
 
@@ -128,9 +129,8 @@
             if message.source == peer:
                 yield from self._hear(message, now)
         elif isinstance(message, SuspicionReport):
-            is_near = message.source == peer and peer in self._table.near
-            if is_near and self._suspicion.take_report(message, now):
-                yield from self._review(now)
+            if message.source == peer and peer in self._table.near:
+                yield from self._take_report(message, now)
         elif isinstance(message, InstanceListQuery):
             yield from self._lists.answer(peer, message)
         elif isinstance(message, InstanceListChange):
@@ -168,7 +168,26 @@
         elif known.heartbeat.incarnation != heartbeat.incarnation:
             # The new process may know nobody.
             self._greet(name, now)
-        yield from self._refresh(now)
+        if self._moves_view(known, heartbeat):
+            yield from self._refresh(now)
+
+    def _moves_view(self, known: Sign | None, heartbeat: Heartbeat) -> bool:
+        """Whether the instances in use may change; an update goes over all of them."""
+        name = heartbeat.source
+        last_state = InstanceState.LIVE if known is None else known.heartbeat.state
+        return (
+            name not in self._members
+            or name in self._suspicion.suspected
+            or heartbeat.state is not last_state
+            or name not in self._lists.entries
+        )
+
+    def _take_report(self, report: SuspicionReport, now: float) -> Iterator[Emission]:
+        if any(name == self._name for name, _ in report.suspects):
+            near = sorted(self._table.near - {self._name})
+            yield from self._heartbeats.refute(near, now)
+        if self._suspicion.take_report(report, now):
+            yield from self._review(now)
 
     def _greet(self, name: str, now: float) -> None:
         self._heartbeats.plan_greeting(name, now)
--- a/src/sardinemill/filters/monitors.py
+++ b/src/sardinemill/filters/monitors.py
@@ -6,7 +6,8 @@
 
 # Two, so that one bad link or one failed monitor moves nobody else's view.
 N_MONITORS = 2
-# Ranks that count in all: a suspected monitor is replaced from the next two. The bound
+# Ranks that count in all: the next two replace the monitors if both are suspected, and
+# only then, because a subject learns late that it has to send to others. The bound
 # keeps a cut from making an instance send to a whole data centre.
 N_RANKED = 4
 
@@ -64,7 +65,7 @@
         """List the instances that heartbeats go to.
 
         Suspected monitors stay, or they would not hear this instance when they come
-        back; the next ones in the ranking replace them meanwhile.
+        back; if all are suspected, the next ones in the ranking get them as well.
         """
         names: list[str] = []
         for ranked in self._receivers:
@@ -97,4 +98,7 @@
 def _find_judges(
     ranked: tuple[str, ...], suspected: Collection[str]
 ) -> tuple[str, ...]:
-    return tuple(name for name in ranked if name not in suspected)[:N_MONITORS]
+    """The first monitors in use, or those that replace them if none is."""
+    usable = [name for name in ranked if name not in suspected]
+    first = [name for name in usable if name in ranked[:N_MONITORS]]
+    return tuple(first or usable)
--- a/src/sardinemill/filters/suspicion.py
+++ b/src/sardinemill/filters/suspicion.py
@@ -2,23 +2,31 @@
 
 import math
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from ..control import Heartbeat, InstanceInfo, InstanceState, SuspicionReport
+from ..control import Heartbeat, InstanceState, SuspicionReport
 from .monitors import MonitorTable
+from .signs import ReceivedReport, Sign, Watch
 
 # Three heartbeats; a single lost or late one must not move the homes of groups.
 SILENCE_SECONDS = 3.0
 # Reports of monitors follow a silence by about half a second, so an instance that
 # hears nothing at all waits one heartbeat more before it takes itself for cut off.
 ISOLATION_SECONDS = 4.0
-# Without a subject to listen for, only the relays' digests come, every 10 s.
+# Fewer subjects may all have failed; then only the relays' digests are sure to come,
+# every 10 s.
+N_SUBJECTS = 5
 QUIET_ISOLATION_SECONDS = 25.0
 # A sign of another incarnation refutes reports for this long; an instance that misses
 # the announcement of a restart must still learn the failure of the new process.
 INCARNATION_SECONDS = 15.0
+# A monitor that a report names has this time to show that it lives.
+DOUBT_SECONDS = 2.0
 # Cap of the lifetime that a report states for itself.
 MAX_REPORT_SECONDS = 60.0
+# Silences before a monitor that replaces a suspected one misses a subject. The subject
+# sends to it only once its own data centre has noticed the same failure.
+N_TAKEOVER = 4
 # Characters of an incarnation in a report; chance matches are harmless.
 N_INCARNATION = 8
 # A change of the suspected moves the monitors of others; the remaining rounds follow
@@ -27,46 +35,6 @@
 ROUND_SECONDS = 0.1
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Sign:
-    """Last sign of life of an instance.
-
-    :param info: the instance as it last introduced itself.
-    :param direct_at: last heartbeat that was not an announcement; it shows that the
-        source counts this instance among its monitors.
-    :param previous: incarnation before this one, whose late messages don't count.
-    """
-
-    heartbeat: Heartbeat
-    heard_at: float
-    info: InstanceInfo | None = None
-    direct_at: float = -math.inf
-    previous: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Watch:
-    """Subject that this instance listens for.
-
-    :param limit: monotonic seconds before which the subject is never absent.
-    """
-
-    since: float
-    limit: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Received:
-    """Last report of a monitor."""
-
-    incarnation: str
-    sequence: int
-    suspects: Mapping[str, str]
-    received_at: float
-    valid_until: float
-    previous: str = ""
-
-
 class Suspicion:
     """State of the failure detection of one instance.
 
@@ -88,10 +56,13 @@
         self._instance = instance
         self._table = table
         self._members: set[str] = set()
-        self._reports: dict[str, _Received] = {}
-        self._watched: dict[str, _Watch] = {}
+        self._reports: dict[str, ReceivedReport] = {}
+        self._watched: dict[str, Watch] = {}
         self._absent: set[str] = set()
         self._unchecked: set[str] = set()
+        # Reported instances: when they become doubtful, and those that are.
+        self._doubt_at: dict[str, float] = {}
+        self._doubtful: set[str] = set()
         self._heard_at = math.inf
         self._resumed_at = -math.inf
         self._is_isolated = False
@@ -110,7 +81,7 @@
         for name in self._list_watched():
             if name in added:
                 limit = now + SILENCE_SECONDS
-                self._watched[name] = _Watch(since=now, limit=limit)
+                self._watched[name] = Watch(since=now, limit=limit)
         self._unchecked = set(members)
 
     def notice_peer(self, now: float) -> bool:
@@ -137,6 +108,10 @@
         """
         name = heartbeat.source
         known = self.signs.get(name)
+        if name in self._doubtful:
+            self._doubtful.discard(name)
+            self._unchecked.update(self._table.list_subjects(name))
+            self.check_at = min(self.check_at, now)
         direct_at = now if heartbeat.info is None else -math.inf
         if known is None:
             self.signs[name] = Sign(
@@ -194,10 +169,11 @@
             if name in subjects and name != self._instance
         }
         valid_seconds = min(report.valid_seconds, MAX_REPORT_SECONDS)
-        self._reports[source] = _Received(
+        self._reports[source] = ReceivedReport(
             incarnation=report.incarnation,
             sequence=report.sequence,
             suspects=suspects,
+            since={name: self._find_since(known, name, now) for name in suspects},
             received_at=now,
             valid_until=now + valid_seconds,
             previous=previous,
@@ -209,7 +185,9 @@
             if self._reports_silence(source, name, now) != (name in self.suspected)
         }
         self._unchecked |= moved & self._members
-        self.check_at = min(self.check_at, now + valid_seconds)
+        for name in suspects.keys() - before.keys():
+            self._doubt_at[name] = now + DOUBT_SECONDS
+        self.check_at = min(self.check_at, now + min(valid_seconds, DOUBT_SECONDS))
         return bool(moved)
 
     def forget(self, name: str) -> None:
@@ -233,6 +211,7 @@
         if isolated != self._is_isolated:
             self._set_isolated(isolated)
         self._expire_reports(now)
+        self._check_doubts(now)
         before = set(self.suspected)
         self._watch(now)
         for _ in range(N_ROUNDS):
@@ -271,12 +250,43 @@
                 return False
             if self._is_sent_here(name):
                 return True
-        return bool(judges) and all(
-            self._reports_silence(judge, name, now)
+        sure = {
+            judge
             for judge in judges
-            if judge != self._instance
+            if judge == self._instance or self._reports_silence(judge, name, now)
+        }
+        return bool(sure) and all(
+            judge in sure or self._is_doubtful(judge, now) for judge in judges
+        )
+
+    def _is_doubtful(self, judge: str, now: float) -> bool:
+        """Whether a judge is reported itself and has not shown that it lives.
+
+        Two instances that monitor each other and fail together would otherwise each
+        wait for the other's report.
+        """
+        return any(
+            self._reports_silence(source, judge, now)
+            and now >= self._reports[source].since[judge] + DOUBT_SECONDS
+            for source in self._table.list_judges(judge, self.suspected)
         )
 
+    def _find_since(self, known: ReceivedReport | None, name: str, now: float) -> float:
+        """When a report first named an instance that has not been heard since."""
+        if known is None or name not in known.suspects:
+            return now
+        sign = self.signs.get(name)
+        if sign is not None and sign.heard_at > known.received_at:
+            return now
+        return known.since[name]
+
+    def _check_doubts(self, now: float) -> None:
+        for name, due_at in list(self._doubt_at.items()):
+            if due_at <= now:
+                del self._doubt_at[name]
+                self._doubtful.add(name)
+                self._unchecked.update(self._table.list_subjects(name))
+
     def _reports_silence(self, source: str, name: str, now: float) -> bool:
         report = self._reports.get(source)
         if report is None or name not in report.suspects:
@@ -307,8 +317,9 @@
             known = self._watched.get(name)
             if known is None:
                 # A subject may learn later than this instance that one of its monitors
-                # is gone, hence twice the time.
-                known = _Watch(since=now, limit=now + 2 * SILENCE_SECONDS)
+                # is gone, hence the longer time.
+                limit = now + N_TAKEOVER * SILENCE_SECONDS
+                known = Watch(since=now, limit=limit)
             watched[name] = known
         self._watched = watched
         absent = {name for name in watched if now >= self._find_limit(name)}
@@ -334,7 +345,8 @@
         )
 
     def _find_isolation(self) -> float:
-        has_subjects = any(self._is_sent_here(name) for name in self._watched)
+        n_subjects = sum(self._is_sent_here(name) for name in self._watched)
+        has_subjects = n_subjects >= max(1, min(N_SUBJECTS, len(self._members) // 2))
         seconds = ISOLATION_SECONDS if has_subjects else QUIET_ISOLATION_SECONDS
         return max(self._heard_at, self._resumed_at) + seconds
 
@@ -349,7 +361,7 @@
                 del self._reports[source]
                 self._unchecked.update(report.suspects)
 
-    def _find_expiry(self, report: _Received) -> float:
+    def _find_expiry(self, report: ReceivedReport) -> float:
         """After a pause, the monitors get the time to repeat their reports."""
         return max(report.valid_until, self._resumed_at + INCARNATION_SECONDS)
 
@@ -357,5 +369,6 @@
         times = [self._find_limit(name) for name in self._watched]
         times.append(self._find_isolation())
         times.extend(self._find_expiry(item) for item in self._reports.values())
+        times.extend(self._doubt_at.values())
         later = min((item for item in times if item > now), default=math.inf)
         return min(later, now + ROUND_SECONDS) if self._unchecked else later
