--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,6 +11,7 @@
 from .results import print_table, write_results
 from .slopes_fleet import measure_fleet
 from .slopes_front import measure_connections, measure_statements
+from .slopes_membership import measure_membership
 from .slopes_state import (
     measure_authentication,
     measure_heartbeats,
@@ -21,6 +22,7 @@
 PARTS: Mapping[str, Callable[[], list[Fit]]] = {
     "authentication": measure_authentication,
     "heartbeats": measure_heartbeats,
+    "membership": measure_membership,
     "lending": measure_lending,
     "reports": measure_reports,
     "connections": measure_connections,
--- /dev/null
+++ b/bench/slopes_membership.py
@@ -0,0 +1,223 @@
+"""Costs of membership: messages, bytes and processor time of one instance.
+
+All filters of a fleet run against a hand-moved clock; a sample of them is measured.
+The greetings at the start are left out, as all instances never start at once.
+"""
+
+import functools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sardinemill.adapters.clocks import SeededRandom
+from sardinemill.codecs import decode_message, encode_message
+from sardinemill.control import (
+    Heartbeat,
+    InstanceInfo,
+    PeerEnvelope,
+    StoreCall,
+    StoreReply,
+)
+from sardinemill.filters import monitors
+from sardinemill.filters.instance_lists import ENTRY_BYTES, choose_relays
+from sardinemill.filters.membership import Membership
+from sardinemill.groups import Address
+from sardinemill.interfaces import Emission
+
+from .fits import Fit, fit_line
+
+SIZES = (50, 150, 450, 620)
+N_DATA_CENTRES = 5
+# Data centres of the smaller region.
+SMALLER_REGION = ("dc-3", "dc-4")
+STEP_SECONDS = 0.05
+START_SECONDS = 35.0
+WINDOW_SECONDS = 20
+N_FAILED = 5
+N_SAMPLES = 10
+
+
+@dataclass(slots=True)
+class Costs:
+    """Totals of the sampled instances."""
+
+    n_sent: int = 0
+    n_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    processor_seconds: float = 0.0
+
+
+def _make_info(number: int) -> InstanceInfo:
+    return InstanceInfo(
+        name=f"instance-{number:03d}",
+        data_centre=f"dc-{number % N_DATA_CENTRES}",
+        peer_address=Address("127.0.0.1", 1000 + number),
+        front_address=Address("127.0.0.1", 1000 + number),
+    )
+
+
+def _share_rankings() -> None:
+    """Compute rankings that all instances of a data centre have in common only once.
+
+    It shortens the start, which is not measured.
+    """
+    rank = functools.cache(monitors._rank)
+    monitors._rank = lambda subject, names: rank(subject, frozenset(names))
+
+
+class MeasuredFleet:
+    """Filters of a whole fleet, moved in steps.
+
+    :param n_samples: instances measured, spread over the data centres.
+    """
+
+    def __init__(self, n_instances: int, n_samples: int = N_SAMPLES) -> None:
+        _share_rankings()
+        random_source = SeededRandom(1)
+        infos = [_make_info(number) for number in range(n_instances)]
+        self.infos = {item.name: item for item in infos}
+        self.costs = Costs()
+        self.failed: set[str] = set()
+        self.is_cut = False
+        self._listed = tuple(infos)
+        self._filters = {
+            item.name: Membership(item, random_source.make_id(), random_source)
+            for item in infos
+        }
+        self._now = 0.0
+        self._under_way: list[tuple[str, str, bytes]] = []
+        relays = {
+            name
+            for place in {item.data_centre for item in infos}
+            for name in choose_relays(place, infos)
+        }
+        others = [item.name for item in infos if item.name not in relays]
+        self.plain = set(others[:n_samples])
+        self.relays = set(sorted(relays)[: n_samples // 2])
+        self.sample = self.plain
+        self.advance(START_SECONDS, is_start=True)
+
+    def advance(self, seconds: float, *, is_start: bool = False) -> None:
+        """Move the clock.
+
+        :param is_start: leave out all heartbeats with ``info``.
+        """
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self._now += STEP_SECONDS
+            arriving, self._under_way = self._under_way, []
+            for sender, target, data in arriving:
+                if target not in self.failed:
+                    self._receive(sender, target, data, is_start)
+            for name, item in self._filters.items():
+                if name not in self.failed and (item.next_tick or 0.0) <= self._now:
+                    self._run(name, lambda item=item: item.tick(self._now), is_start)
+
+    def measure(self, sample: set[str]) -> Costs:
+        """Measure the next seconds for some instances; return averages a second."""
+        self.sample, self.costs = sample, Costs()
+        self.advance(WINDOW_SECONDS)
+        share = 1.0 / (WINDOW_SECONDS * len(sample))
+        return Costs(
+            *(getattr(self.costs, name) * share for name in Costs.__slots__)  # type: ignore[arg-type]
+        )
+
+    def _receive(self, sender: str, target: str, data: bytes, is_start: bool) -> None:
+        if target in self.sample:
+            self.costs.n_received += 1
+            self.costs.bytes_received += len(data)
+
+        def handle() -> tuple[Emission, ...]:
+            envelope = PeerEnvelope(peer=sender, message=decode_message(data, sender))
+            return tuple(self._filters[target].handle(envelope, self._now))
+
+        self._run(target, handle, is_start)
+
+    def _run(self, name: str, call: Callable, is_start: bool) -> None:
+        begin = time.process_time()
+        emissions = call()
+        sent = [
+            (item.message.peer, encode_message(item.message.message))
+            for item in emissions
+            if isinstance(item.message, PeerEnvelope)
+            and not (is_start and _introduces(item.message.message))
+        ]
+        if name in self.sample:
+            self.costs.processor_seconds += time.process_time() - begin
+        for peer, data in sent:
+            self._send(name, peer, data)
+        for item in emissions:
+            if isinstance(item.message, StoreCall):
+                self._answer(name, item.message, is_start)
+
+    def _send(self, sender: str, peer: str, data: bytes) -> None:
+        targets = [name for name in self.infos if name != sender]
+        for target in targets if peer == "*" else [peer]:
+            if sender in self.sample:
+                self.costs.n_sent += 1
+                self.costs.bytes_sent += len(data)
+            if not self._separates(sender, target):
+                self._under_way.append((sender, target, data))
+
+    def _separates(self, sender: str, target: str) -> bool:
+        sides = [
+            self.infos[name].data_centre in SMALLER_REGION for name in (sender, target)
+        ]
+        return self.is_cut and sides[0] != sides[1]
+
+    def _answer(self, name: str, call: StoreCall, is_start: bool) -> None:
+        if name in self.sample:
+            self.costs.bytes_received += round(ENTRY_BYTES * len(self._listed))
+        reply = StoreReply(
+            call=call, failure=None, asked_at=self._now, instances=self._listed
+        )
+        call_filter = self._filters[name].handle
+        self._run(name, lambda: call_filter(reply, self._now), is_start)
+
+
+def _introduces(message: object) -> bool:
+    return isinstance(message, Heartbeat) and message.info is not None
+
+
+def _fail_some(fleet: MeasuredFleet) -> None:
+    others = [name for name in fleet.infos if name not in fleet.plain | fleet.relays]
+    fleet.failed = set(others[:: len(others) // N_FAILED][:N_FAILED])
+
+
+def _cut_regions(fleet: MeasuredFleet) -> None:
+    fleet.is_cut = True
+
+
+def measure_membership() -> list[Fit]:
+    """Messages, bytes and processor time a second, by instances."""
+    figures: dict[tuple[str, str], list[float]] = {}
+    for size in SIZES:
+        for situation, costs in _measure_size(size):
+            role, _, phase = situation.partition(": ")
+            for quantity, value in (
+                ("messages sent/s", costs.n_sent),
+                ("messages received/s", costs.n_received),
+                ("B sent/s", costs.bytes_sent),
+                ("B received/s", costs.bytes_received),
+                ("processor ms/s", costs.processor_seconds * 1e3),
+            ):
+                figures.setdefault((role, f"{phase}, {quantity}"), []).append(value)
+    return [
+        fit_line(role, f"membership {quantity}", "instance", SIZES, values)
+        for (role, quantity), values in figures.items()
+    ]
+
+
+def _measure_size(size: int) -> list[tuple[str, Costs]]:
+    """Measure one fleet while it is quiet, with failures, and with a cut as well."""
+    fleet = MeasuredFleet(size)
+    rows = [
+        ("every instance: quiet", fleet.measure(fleet.plain)),
+        ("relay: quiet", fleet.measure(fleet.relays)),
+    ]
+    for phase, change in (("5 failed", _fail_some), ("cut", _cut_regions)):
+        change(fleet)
+        rows.append((f"every instance: {phase}, onset", fleet.measure(fleet.plain)))
+        rows.append((f"every instance: {phase}, later", fleet.measure(fleet.plain)))
+        rows.append((f"relay: {phase}, later", fleet.measure(fleet.relays)))
+    return rows
--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -127,7 +127,9 @@
     )
 
 
-def _make_heartbeat(number: int, sequence: int) -> PeerEnvelope:
+def _make_heartbeat(
+    number: int, sequence: int, *, introduces: bool = False
+) -> PeerEnvelope:
     info = _make_info(number)
     heartbeat = Heartbeat(
         source=info.name,
@@ -135,21 +137,22 @@
         sequence=sequence,
         state=InstanceState.LIVE,
         configuration_version=1,
-        info=info,
+        info=info if introduces else None,
     )
     return PeerEnvelope(peer=info.name, message=heartbeat)
 
 
 def measure_heartbeats() -> list[Fit]:
-    """State for each peer, bytes and time of a heartbeat, by peers."""
+    """State for each peer and time of an ordinary heartbeat, by peers."""
     sizes = (50, 150, 450)
-    memory, times, n_bytes = [], [], []
+    memory, times = [], []
     for size in sizes:
 
         def make(size: int = size) -> Membership:
             step = Membership(_make_info(0), "a" * 32, SeededRandom(RANDOM_STATE))
             for number in range(1, size + 1):
-                step.handle(_make_heartbeat(number, 1), 0.0)
+                step.handle(_make_heartbeat(number, 1, introduces=True), 0.0)
+            step.tick(0.05)
             return step
 
         step, state = measure_memory(make)
@@ -158,7 +161,6 @@
             encode_message(_make_heartbeat(number, 2).message)
             for number in range(1, size + 1)
         ]
-        n_bytes.append(float(sum(len(item) for item in data)))
 
         def receive(number: int, step: Membership = step, data: Sequence = data):
             item = data[number % len(data)]
@@ -170,9 +172,6 @@
     return [
         fit_line("every instance", "membership, bytes", "peer", sizes, memory),
         fit_line("every instance", "one heartbeat received, us", "peer", sizes, times),
-        fit_line(
-            "every instance", "one round of heartbeats, B", "peer", sizes, n_bytes
-        ),
     ]
 
 
