--- a/src/sardinemill/adapters/upstream.py
+++ b/src/sardinemill/adapters/upstream.py
@@ -1,6 +1,7 @@
 """Connections to databases over WebSocket and MessagePack."""
 
 import asyncio
+from dataclasses import replace
 from typing import TypeVar
 
 import aiohttp
--- a/src/sardinemill/filters/membership.py
+++ b/src/sardinemill/filters/membership.py
@@ -23,7 +23,8 @@
 from .heartbeats import HEARTBEAT_SECONDS, LISTED_ANNOUNCEMENT_SECONDS, Heartbeats
 from .instance_lists import InstanceLists
 from .monitors import MonitorTable
-from .suspicion import SILENCE_SECONDS, Sign, Suspicion
+from .signs import Sign
+from .suspicion import SILENCE_SECONDS, Suspicion
 from .suspicion_reports import ReportSchedule
 
 # An instance that the list does not hold is given up after this time as suspected, or
@@ -128,9 +129,8 @@
             if message.source == peer:
                 yield from self._hear(message, now)
         elif isinstance(message, SuspicionReport):
-            is_near = message.source == peer and peer in self._table.near
-            if is_near and self._suspicion.take_report(message, now):
-                yield from self._review(now)
+            if message.source == peer and peer in self._table.near:
+                yield from self._take_report(message, now)
         elif isinstance(message, InstanceListQuery):
             yield from self._lists.answer(peer, message)
         elif isinstance(message, InstanceListChange):
@@ -182,6 +182,13 @@
             or name not in self._lists.entries
         )
 
+    def _take_report(self, report: SuspicionReport, now: float) -> Iterator[Emission]:
+        if any(name == self._name for name, _ in report.suspects):
+            near = sorted(self._table.near - {self._name})
+            yield from self._heartbeats.refute(near, now)
+        if self._suspicion.take_report(report, now):
+            yield from self._review(now)
+
     def _greet(self, name: str, now: float) -> None:
         self._heartbeats.plan_greeting(name, now)
         if name in self._table.near:
