Report ready only once other instances are known

Cause: an instance became ready as soon as it had a configuration. An instance that knows no other for 8 s is taken for the only one, so that a fleet of one starts.

--- a/src/sardinemill/adapters/frontend.py
+++ b/src/sardinemill/adapters/frontend.py
@@ -199,7 +199,7 @@
         return web.json_response({"status": "ok"})
 
     async def _show_ready(self, http_request: web.Request) -> web.Response:
-        is_ready = self._board.is_ready
+        is_ready = self._board.is_ready(self._clock.now())
         return web.json_response({"ready": is_ready}, status=200 if is_ready else 503)
 
     async def _show_status(self, http_request: web.Request) -> web.Response:
--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -120,7 +120,9 @@
         self._make_stages()
         self._router = EnvelopeRouter(self._route_envelopes())
         self._link = edges.make_peer_link(self._router)
-        self._board = StatusBoard(settings.name, settings.data_centre)
+        self._board = StatusBoard(
+            settings.name, settings.data_centre, edges.clock.now()
+        )
         self.front_end = self._make_front_end()
         self._configuration = FanOut()
         self._groups = FanOut()
--- a/src/sardinemill/status.py
+++ b/src/sardinemill/status.py
@@ -13,6 +13,10 @@
 )
 from .messages import Answer, Refusal
 
+# Longer than the platform's list lags; after it, an instance that knows no other is
+# taken for the only one.
+ALONE_SECONDS = 8.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupStatus:
@@ -52,9 +56,13 @@
     """Collects control messages and counts replies.
 
     :param instance: name of this instance.
+    :param started_at: seconds on the monotonic clock.
     """
 
-    def __init__(self, instance: str, data_centre: str) -> None:
+    def __init__(
+        self, instance: str, data_centre: str, started_at: float = 0.0
+    ) -> None:
+        self._started_at = started_at
         self._instance = instance
         self._data_centre = data_centre
         self._state = InstanceState.LIVE
@@ -67,9 +75,15 @@
         self._n_replica_answers = 0
         self._refusals: Counter[str] = Counter()
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the instance has a configuration and takes new work."""
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the instance may get new work.
+
+        It needs a configuration and has to know its peers: requests that come before
+        find neither the homes of their groups nor the owners of their rate limits.
+        """
+        is_alone = self._n_live_instances < 2
+        if is_alone and now - self._started_at < ALONE_SECONDS:
+            return False
         return self._version > 0 and self._state is InstanceState.LIVE
 
     @property
