Route unknown syntax as a write, and keep statements out of the parser's log

Cause: the parser turns syntax it lacks, such as REPLACE INTO, into a bare command, which was refused as a session command; and it warned with the text of the statement, so callers' data reached standard error.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: demo test bench slopes clean check
+.PHONY: demo test bench slopes faults clean check
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -28,3 +28,6 @@
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info .mypy_cache .ruff_cache
 	rm -rf .pytest_cache .hypothesis demo-logs bench/results/*.jsonl
+
+faults: $(VENV)/.installed
+	$(PYTHON) -m bench.faults
--- a/src/sardinemill/filters/classification.py
+++ b/src/sardinemill/filters/classification.py
@@ -1,5 +1,6 @@
 """Decides the kind of a statement before it is routed."""
 
+import logging
 from collections.abc import Sequence
 from functools import lru_cache
 
@@ -21,6 +22,8 @@
 from ..positions import ORIGIN
 
 N_CACHED_STATEMENTS = 4096
+# The parser's warnings quote the statement, and callers' data must not be logged.
+logging.getLogger("sqlglot").setLevel(logging.CRITICAL)
 
 _CONTROL_TYPES = (
     exp.Transaction,
@@ -29,7 +32,12 @@
     exp.Attach,
     exp.Detach,
     exp.Pragma,
-    exp.Command,
+)
+# The parser turns syntax that it does not know into a bare command; of those, only
+# the following concern the connection.
+_CONTROL_WORDS = frozenset(
+    {"ATTACH", "BEGIN", "COMMIT", "DETACH", "END", "PRAGMA", "RELEASE", "ROLLBACK"}
+    | {"SAVEPOINT", "SET", "START", "USE", "VACUUM"}
 )
 # A subtree of one of these types may change data; unknown functions may as well.
 _DOUBTFUL_TYPES = (
@@ -61,7 +69,7 @@
     if len(trees) != 1:
         raise StatementError("exactly one statement is needed", step="classification")
     tree = trees[0]
-    if isinstance(tree, _CONTROL_TYPES):
+    if _is_control(tree):
         raise StatementError(
             "transaction control and session commands are not accepted as SQL",
             step="classification",
@@ -71,6 +79,12 @@
     return StatementKind.WRITE
 
 
+def _is_control(tree: object) -> bool:
+    if isinstance(tree, exp.Command):
+        return str(tree.this).upper() in _CONTROL_WORDS
+    return isinstance(tree, _CONTROL_TYPES)
+
+
 class Classification:
     """Filter that makes a :class:`Request` of an authenticated request.
 
