Replace peer connections for unanswered questions alone

Cause: heartbeats go to a few monitors since membership was made to scale, so most peers never send back, and the link took every such connection for silent and replaced it after 4 s, over and over. Requests waited for the new ones.

Ruled out: load on the machine, reads that wait for positions (writes were as slow).

Only messages that a peer answers at once count now; others rely on the pings, which end a broken connection within 8 s. The test of silent peers sends a question, and checks that messages without an answer replace nothing.

--- a/src/sardinemill/adapters/peer_connection.py
+++ b/src/sardinemill/adapters/peer_connection.py
@@ -36,7 +36,7 @@
     :param silence_seconds: time without an answer to a ping that ends a connection.
     :param on_ready: called from the event loop when the socket may have connected.
     :ivar sent_at: monotonic seconds of the last message sent.
-    :ivar unanswered_since: when the first message since the last sign of the peer was
+    :ivar unanswered_since: when the first question since the last sign of the peer was
         sent, or ``None``.
     """
 
@@ -87,13 +87,16 @@
         # Without a connection the library refuses a message instead of keeping it.
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
 
-    def send(self, messages: Sequence[bytes], now: float) -> int:
+    def send(
+        self, messages: Sequence[bytes], now: float, *, expects_answer: bool
+    ) -> int:
         """Send encoded messages, as one ZeroMQ message.
 
+        :param expects_answer: whether the peer answers one of them soon.
         :returns: the number of those that were dropped.
         """
         self.sent_at = now
-        if self.unanswered_since is None:
+        if expects_answer and self.unanswered_since is None:
             self.unanswered_since = now
         if not self._is_connecting:
             return self._send_now(messages)
--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -8,7 +8,15 @@
 import zmq
 
 from ..codecs import encode_message
-from ..control import InstanceInfo, MembershipChanged, PeerEnvelope
+from ..control import (
+    BorrowRequest,
+    InstanceInfo,
+    InstanceListQuery,
+    MembershipChanged,
+    PeerEnvelope,
+    ReserveQuery,
+    VersionQuery,
+)
 from ..errors import CodecError
 from ..events import Event, EventName
 from ..groups import Address
@@ -36,6 +44,11 @@
 N_ENVELOPES = 64
 
 
+# The peer answers these at once. Most peers only get heartbeats or replies, and their
+# silence says nothing: connections that fail under those are found by the pings.
+_QUESTIONS = (BorrowRequest, InstanceListQuery, ReserveQuery, VersionQuery)
+
+
 @dataclass(frozen=True, slots=True)
 class _Ready:
     """The socket of a connection may have connected."""
@@ -90,6 +103,8 @@
         self._receiver = Receiver(sink, self.counters)
         self._outbox = Inbox()
         self._peers: dict[str, Address] = {}
+        # Peers that a question in the current batches goes to.
+        self._asked: set[str] = set()
         self._connections: dict[str, PeerConnection] = {}
         self._context: zmq.Context[zmq.Socket[bytes]] | None = None
         self._router: zmq.Socket[bytes] | None = None
@@ -242,6 +257,8 @@
             self._count_full(envelope.peer)
             return
         names = self._peers if envelope.peer == "*" else (envelope.peer,)
+        if isinstance(envelope.message, _QUESTIONS):
+            self._asked.update(names)
         for name in names:
             batch = batches.setdefault(name, [])
             batch.append(data)
@@ -260,7 +277,10 @@
         connection = self._connections.get(name)
         if connection is None:
             connection = self._open(name, self._silence_seconds)
-        n_dropped = connection.send(batch, self._clock.now())
+        n_dropped = connection.send(
+            batch, self._clock.now(), expects_answer=name in self._asked
+        )
+        self._asked.discard(name)
         self.counters.n_sent += len(batch) - n_dropped
         self._count_dropped(name, n_dropped)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
     Heartbeat,
     InstanceState,
     PeerEnvelope,
+    VersionQuery,
 )
 
 
@@ -157,7 +158,9 @@
 
 
 def test_restarted_and_silent_peers_are_reached_again():
-    """Guards against a socket that stays on a connection which went silent."""
+    """Guards against a socket that stays on a connection which went silent, and against
+    one that is replaced although its messages need no answer.
+    """
 
     async def run():
         link, _, info = await ZmqFleet().start_link("a", silence_seconds=0.3)
@@ -166,8 +169,14 @@
         other.set_peers([info])
         message = PeerEnvelope(peer="b", message=make_heartbeat("a"))
         await send_until_received(link, message, queue)
-        # The other side never sends, so the link takes its socket for silent.
+        await asyncio.sleep(1.0)
+        assert link.counters.n_replaced == 0
+        # The other side never answers, so the link takes its socket for silent.
+        query = VersionQuery(query_id="1", source="a", known_version=0)
+        link.offer(PeerEnvelope(peer="b", message=query))
         await wait_until(lambda: link.counters.n_replaced > 0)
+        while not queue.empty():
+            queue.get_nowait()
         await send_until_received(link, message, queue)
         await other.stop()
         other, queue, other_info = await ZmqFleet().start_link("b")
