--- a/bench/detectors.py
+++ b/bench/detectors.py
@@ -19,7 +19,6 @@
 
 import defopt
 
-from sardinemill.control import PrimaryOpinion
 from sardinemill.filters.detection import (
     AccrualDetector,
     FailureDetector,
@@ -27,6 +26,7 @@
     TimeoutDetector,
 )
 from sardinemill.filters.failover import PROBE_SECONDS
+from sardinemill.replication import PrimaryOpinion
 
 N_HOMES = 3
 DATABASE = "hives-1"
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -20,7 +20,6 @@
     Plan,
     Workspace,
 )
-from sardinemill.control import GroupsChanged
 from sardinemill.filters.authentication import AvailableKeyPolicy
 from sardinemill.filters.queueing import (
     FirstInFirstOut,
@@ -43,6 +42,7 @@
     UpstreamResult,
 )
 from sardinemill.positions import ORIGIN
+from sardinemill.replication import GroupsChanged
 
 TIMEOUT_SECONDS = 10.0
 STATEMENT = Statement(sql="", parameters=(), kind=StatementKind.READ, idempotent=True)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,20 +18,14 @@
     ConfigurationChanged,
     ConfigurationConfirmed,
 )
-from sardinemill.control import (
-    InstanceInfo,
-    MembershipChanged,
-    PeerEnvelope,
-    StoreCall,
-    StoreFailure,
-    StoreOperation,
-    StoreReply,
-)
+from sardinemill.control import PeerEnvelope
 from sardinemill.documents import HEAD_NAME
 from sardinemill.edits import Snapshot, prepare_edit
 from sardinemill.filters.authentication import KeyRegister, StrictKeyPolicy
 from sardinemill.filters.distribution import Distribution
 from sardinemill.groups import Address
+from sardinemill.members import InstanceInfo, MembershipChanged
+from sardinemill.storecalls import StoreCall, StoreFailure, StoreOperation, StoreReply
 
 STORE_SECONDS = 0.003
 LINK_SECONDS = 0.0015
--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -14,30 +14,25 @@
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.configuration import Configuration, ConfigurationChanged
-from sardinemill.control import (
+from sardinemill.control import DrainStarted, PeerEnvelope
+from sardinemill.filters.admission import Admission
+from sardinemill.filters.leasing import Leasing
+from sardinemill.filters.lending import Lending
+from sardinemill.groups import Address
+from sardinemill.interfaces import Filter
+from sardinemill.limits import LimitSettings
+from sardinemill.loans import (
     BorrowRequest,
-    DrainStarted,
-    InstanceInfo,
     Loan,
     LoanReturn,
-    MembershipChanged,
-    PeerEnvelope,
     ReservePledge,
     ReserveQuery,
     ShardReleased,
-    StoreCall,
-    StoreFailure,
-    StoreOperation,
-    StoreReply,
 )
-from sardinemill.filters.admission import Admission
-from sardinemill.filters.leasing import Leasing
-from sardinemill.filters.lending import Lending
-from sardinemill.groups import Address
-from sardinemill.interfaces import Filter
-from sardinemill.limits import LimitSettings
+from sardinemill.members import InstanceInfo, MembershipChanged
 from sardinemill.messages import Action, Refusal, Request
 from sardinemill.records import JsonLeaseCodec
+from sardinemill.storecalls import StoreCall, StoreFailure, StoreOperation, StoreReply
 
 # Far above what any filter needs; a filter that asks for ticks without end exceeds it.
 TICK_LIMIT_PER_SECOND = 2000
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -10,8 +10,8 @@
 
 from sardinemill.adapters.clocks import SystemClock
 from sardinemill.adapters.upstream import WebSocketConnector
-from sardinemill.control import DatabaseReport
 from sardinemill.groups import DatabaseDescription
+from sardinemill.replication import DatabaseReport
 
 from .deployment import Deployment, DeploymentSize, make_workspaces
 
--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -11,18 +11,14 @@
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.codecs import decode_message, encode_message
-from sardinemill.control import (
-    Heartbeat,
-    InstanceInfo,
-    PeerEnvelope,
-    StoreCall,
-    StoreReply,
-)
+from sardinemill.control import PeerEnvelope
 from sardinemill.filters import monitors
 from sardinemill.filters.instance_lists import ENTRY_BYTES, choose_relays
 from sardinemill.filters.membership import Membership
 from sardinemill.groups import Address
 from sardinemill.interfaces import Emission
+from sardinemill.members import Heartbeat, InstanceInfo
+from sardinemill.storecalls import StoreCall, StoreReply
 
 from .fits import Fit, fit_line
 
--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -17,17 +17,7 @@
     Workspace,
     hash_key,
 )
-from sardinemill.control import (
-    BorrowRequest,
-    DatabaseReport,
-    GroupsChanged,
-    Heartbeat,
-    InstanceInfo,
-    InstanceState,
-    PeerEnvelope,
-    Role,
-    ShardLease,
-)
+from sardinemill.control import PeerEnvelope
 from sardinemill.filters.acknowledgement import Acknowledgement
 from sardinemill.filters.authentication import Authentication, StrictKeyPolicy
 from sardinemill.filters.detection import ObserverDetector, TimeoutDetector
@@ -37,8 +27,11 @@
 from sardinemill.filters.routing import Routing
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
 from sardinemill.limits import LimitSettings
+from sardinemill.loans import BorrowRequest, ShardLease
+from sardinemill.members import Heartbeat, InstanceInfo, InstanceState
 from sardinemill.messages import Action, CallerRequest
 from sardinemill.positions import LogPosition
+from sardinemill.replication import DatabaseReport, GroupsChanged, Role
 
 from .fits import Fit, fit_line
 
--- a/src/sardinemill/adapters/memory_peers.py
+++ b/src/sardinemill/adapters/memory_peers.py
@@ -6,8 +6,9 @@
 from itertools import count
 
 from ..codecs import encode_message
-from ..control import InstanceInfo, MembershipChanged, PeerEnvelope
+from ..control import PeerEnvelope
 from ..interfaces import Clock, Outlet, RandomSource
+from ..members import InstanceInfo, MembershipChanged
 from .peer_traffic import PeerCounters, Receiver
 
 
--- a/src/sardinemill/adapters/memory_store.py
+++ b/src/sardinemill/adapters/memory_store.py
@@ -4,11 +4,11 @@
 from collections.abc import Awaitable, Sequence
 from typing import TypeVar
 
-from ..control import InstanceInfo
 from ..emulator.platform import Platform
 from ..emulator.platform_service import PlatformService
 from ..errors import StoreUnavailable
 from ..interfaces import Clock, StoreObject
+from ..members import InstanceInfo
 from .clocks import SystemClock
 
 CALL_TIMEOUT_SECONDS = 1.0
--- a/src/sardinemill/adapters/memory_upstream.py
+++ b/src/sardinemill/adapters/memory_upstream.py
@@ -7,14 +7,6 @@
 from dataclasses import replace
 from functools import partial
 
-from ..control import (
-    AdmitOrder,
-    DatabaseReport,
-    FenceAnswer,
-    FenceOrder,
-    PromoteAnswer,
-    PromoteOrder,
-)
 from ..emulator.database import Database
 from ..emulator.service import DatabaseService
 from ..errors import Outcome, UpstreamBusy, UpstreamUnavailable
@@ -22,6 +14,14 @@
 from ..interfaces import Clock
 from ..messages import UpstreamCall, UpstreamResult
 from ..positions import LogPosition
+from ..replication import (
+    AdmitOrder,
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
 from .clocks import SystemClock
 
 
--- a/src/sardinemill/adapters/peer_traffic.py
+++ b/src/sardinemill/adapters/peer_traffic.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from ..codecs import decode_message
-from ..control import Heartbeat, PeerEnvelope
+from ..control import PeerEnvelope
 from ..errors import CodecError
 from ..interfaces import Outlet
+from ..members import Heartbeat
 
 
 @dataclass(slots=True)
--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -8,11 +8,12 @@
 import zmq
 
 from ..codecs import encode_message
-from ..control import InstanceInfo, MembershipChanged, PeerEnvelope
+from ..control import PeerEnvelope
 from ..errors import CodecError
 from ..events import Event, EventName
 from ..groups import Address
 from ..interfaces import Clock, Outlet, RandomSource
+from ..members import InstanceInfo, MembershipChanged
 from ..pipeline import Inbox
 from .peer_connection import SEND_QUEUE_LENGTH, PeerConnection, choose_ping_seconds
 from .peer_traffic import PeerCounters, Receiver
--- a/src/sardinemill/adapters/pool.py
+++ b/src/sardinemill/adapters/pool.py
@@ -4,11 +4,11 @@
 from collections import deque
 from collections.abc import Iterator
 
-from ..control import GroupsChanged
 from ..errors import Outcome
 from ..groups import DatabaseDescription, count_home_connections
 from ..interfaces import Clock, Outlet, RandomSource, UpstreamConnector
 from ..messages import Action, Dispatch, Execution, RefusalCode
+from ..replication import GroupsChanged
 from .clocks import SystemRandom
 from .worker import ConnectionWorker, make_failure, refuse_unknown_transaction
 
--- a/src/sardinemill/adapters/prober.py
+++ b/src/sardinemill/adapters/prober.py
@@ -3,15 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from ..control import (
-    AdmitOrder,
-    FenceOrder,
-    GroupsChanged,
-    OrderFailure,
-    PromoteOrder,
-    ReportFailure,
-    ReportQuery,
-)
 from ..errors import SardinemillError, UpstreamUnavailable
 from ..groups import DatabaseDescription
 from ..interfaces import (
@@ -22,6 +13,15 @@
     UpstreamConnector,
 )
 from ..pipeline import Inbox
+from ..replication import (
+    AdmitOrder,
+    FenceOrder,
+    GroupsChanged,
+    OrderFailure,
+    PromoteOrder,
+    ReportFailure,
+    ReportQuery,
+)
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Time in which a healthy database answers; a second try on a new connection must also
--- a/src/sardinemill/adapters/status.py
+++ b/src/sardinemill/adapters/status.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from ..control import InstanceInfo
+from ..members import InstanceInfo
 from ..status import Status
 
 STATUS_TIMEOUT_SECONDS = 1.0
--- a/src/sardinemill/adapters/store.py
+++ b/src/sardinemill/adapters/store.py
@@ -10,9 +10,9 @@
 import msgspec
 from yarl import URL
 
-from ..control import InstanceInfo
 from ..errors import Outcome, StoreConflict, StoreError, StoreUnavailable
 from ..interfaces import StoreObject
+from ..members import InstanceInfo
 
 CALL_TIMEOUT_SECONDS = 1.0
 
--- a/src/sardinemill/adapters/store_task.py
+++ b/src/sardinemill/adapters/store_task.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from ..control import InstanceInfo, StoreCall, StoreFailure, StoreOperation, StoreReply
 from ..errors import StoreConflict, StoreError
 from ..interfaces import Clock, Outlet, Store
+from ..members import InstanceInfo
+from ..storecalls import StoreCall, StoreFailure, StoreOperation, StoreReply
 
 # Watches stay pending for seconds, so several calls must overlap.
 N_CALLS = 64
--- a/src/sardinemill/adapters/upstream.py
+++ b/src/sardinemill/adapters/upstream.py
@@ -6,14 +6,6 @@
 
 import aiohttp
 
-from ..control import (
-    AdmitOrder,
-    DatabaseReport,
-    FenceAnswer,
-    FenceOrder,
-    PromoteAnswer,
-    PromoteOrder,
-)
 from ..errors import (
     CodecError,
     Outcome,
@@ -26,6 +18,14 @@
 from ..interfaces import Clock
 from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
 from ..positions import LogPosition
+from ..replication import (
+    AdmitOrder,
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
 from .upstream_channel import CallLost, Channel
 from .upstream_frames import (
     ADMIT,
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from . import control
+from . import control, loans, members, replication
 from .errors import CodecError
 from .messages import Answer, Refusal
 
@@ -15,22 +15,22 @@
 _WIRE_TYPES: dict[str, type] = {
     kind.__name__: kind
     for kind in (
-        control.BorrowRequest,
+        loans.BorrowRequest,
         control.ForwardedCancellation,
         control.ForwardedRequest,
-        control.Heartbeat,
-        control.InstanceList,
-        control.InstanceListChange,
-        control.InstanceListQuery,
-        control.Loan,
-        control.LoanReturn,
+        members.Heartbeat,
+        members.InstanceList,
+        members.InstanceListChange,
+        members.InstanceListQuery,
+        loans.Loan,
+        loans.LoanReturn,
         control.OrderNotice,
-        control.PrimaryChanged,
-        control.PrimaryOpinion,
-        control.ReservePledge,
-        control.ReserveQuery,
-        control.ShardReleased,
-        control.SuspicionReport,
+        replication.PrimaryChanged,
+        replication.PrimaryOpinion,
+        loans.ReservePledge,
+        loans.ReserveQuery,
+        loans.ShardReleased,
+        members.SuspicionReport,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from . import control
+from . import control, loans, members, replication
 from .adapters.documents import MessagePackDocuments
 from .adapters.frontend import HttpFrontEnd
 from .adapters.pool import PoolSet
@@ -139,7 +139,7 @@
         name, data_centre = settings.name, settings.data_centre
         make_policy = KEY_POLICIES[settings.key_policy]
         limits = LimitSettings()
-        info = control.InstanceInfo(
+        info = members.InstanceInfo(
             name=name,
             data_centre=data_centre,
             peer_address=Address(settings.peer_host, settings.peer_port),
@@ -194,8 +194,8 @@
         edges, stages = self._edges, self._stages
         control_news = TypeRouter(
             {
-                control.DatabaseReport: self._news,
-                control.ReportFailure: self._news,
+                replication.DatabaseReport: self._news,
+                replication.ReportFailure: self._news,
             },
             default=stages["failover"],
         )
@@ -407,21 +407,21 @@
             "reception": (control.ForwardedRequest, control.ForwardedCancellation),
             "placement": (control.ForwardedReply,),
             "lending": (
-                control.BorrowRequest,
-                control.LoanReturn,
-                control.ReservePledge,
+                loans.BorrowRequest,
+                loans.LoanReturn,
+                loans.ReservePledge,
             ),
-            "admission": (control.Loan, control.ReserveQuery),
-            "failover": (control.PrimaryChanged, control.PrimaryOpinion),
+            "admission": (loans.Loan, loans.ReserveQuery),
+            "failover": (replication.PrimaryChanged, replication.PrimaryOpinion),
             "distribution": (control.VersionQuery, control.VersionAnswer),
-            "leasing": (control.ShardReleased,),
+            "leasing": (loans.ShardReleased,),
             "orders": (control.OrderNotice,),
             "membership": (
-                control.Heartbeat,
-                control.SuspicionReport,
-                control.InstanceList,
-                control.InstanceListChange,
-                control.InstanceListQuery,
+                members.Heartbeat,
+                members.SuspicionReport,
+                members.InstanceList,
+                members.InstanceListChange,
+                members.InstanceListQuery,
             ),
         }
         return {kind: stages[step] for step, kinds in routes.items() for kind in kinds}
--- a/src/sardinemill/emulator/database.py
+++ b/src/sardinemill/emulator/database.py
@@ -5,14 +5,6 @@
 
 from dataclasses import dataclass, field
 
-from ..control import (
-    AdmitOrder,
-    DatabaseReport,
-    FenceAnswer,
-    FenceOrder,
-    PromoteAnswer,
-    PromoteOrder,
-)
 from ..errors import (
     IdempotencyKeyReused,
     StatementError,
@@ -23,6 +15,14 @@
 )
 from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
 from ..positions import LogPosition
+from ..replication import (
+    AdmitOrder,
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
 from .log import AppendAnswer, AppendOrder, LogEntry
 from .member import GroupMember
 from .workspaces import (
--- a/src/sardinemill/emulator/database_server.py
+++ b/src/sardinemill/emulator/database_server.py
@@ -25,12 +25,12 @@
     encode_error,
     encode_frame,
 )
-from ..control import AdmitOrder, FenceOrder, PromoteOrder
 from ..errors import CodecError, UpstreamError
 from ..events import Event, EventName
 from ..groups import Address, DatabaseDescription
 from ..interfaces import Clock
 from ..messages import UpstreamCall
+from ..replication import AdmitOrder, FenceOrder, PromoteOrder
 from .answers import AnswerGate
 from .database import Database
 from .faults import decode_change
--- a/src/sardinemill/emulator/delays.py
+++ b/src/sardinemill/emulator/delays.py
@@ -5,17 +5,7 @@
 from dataclasses import replace
 
 from ..composition import Edges, PeerLinkPart
-from ..control import (
-    AdmitOrder,
-    DatabaseReport,
-    FenceAnswer,
-    FenceOrder,
-    InstanceInfo,
-    MembershipChanged,
-    PeerEnvelope,
-    PromoteAnswer,
-    PromoteOrder,
-)
+from ..control import PeerEnvelope
 from ..groups import DatabaseDescription
 from ..interfaces import (
     Clock,
@@ -24,8 +14,17 @@
     UpstreamConnection,
     UpstreamConnector,
 )
+from ..members import InstanceInfo, MembershipChanged
 from ..messages import UpstreamCall, UpstreamResult
 from ..positions import LogPosition
+from ..replication import (
+    AdmitOrder,
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    PromoteAnswer,
+    PromoteOrder,
+)
 
 
 class DelayedPeerLink:
--- a/src/sardinemill/emulator/member.py
+++ b/src/sardinemill/emulator/member.py
@@ -7,7 +7,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ..control import (
+from ..positions import ORIGIN, LogPosition
+from ..replication import (
     AdmitOrder,
     DatabaseReport,
     FenceAnswer,
@@ -16,7 +17,6 @@
     PromoteOrder,
     Role,
 )
-from ..positions import ORIGIN, LogPosition
 from .log import AppendAnswer, AppendOrder, LogEntry, ReplicatedLog
 from .workspaces import LoggedStatement
 
--- a/src/sardinemill/emulator/platform.py
+++ b/src/sardinemill/emulator/platform.py
@@ -6,9 +6,10 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
-from ..control import InstanceInfo, StoreOperation
 from ..errors import StoreConflict, StoreError, StoreUnavailable
 from ..interfaces import StoreObject
+from ..members import InstanceInfo
+from ..storecalls import StoreOperation
 
 MAX_VALUE_BYTES = 2**20
 # The platform allows "several hundred" writes and about 2,000 reads a second.
--- a/src/sardinemill/emulator/platform_server.py
+++ b/src/sardinemill/emulator/platform_server.py
@@ -13,7 +13,6 @@
 from aiohttp import web
 
 from ..adapters.store import DATA_CENTRE_HEADER, EXPECTED_HEADER, VERSION_HEADER
-from ..control import InstanceInfo
 from ..errors import (
     StoreAnswerLost,
     StoreConflict,
@@ -23,6 +22,7 @@
 from ..events import Event, EventName
 from ..groups import Address
 from ..interfaces import Clock, StoreObject
+from ..members import InstanceInfo
 from .platform import MAX_VALUE_BYTES, Platform, PlatformFaults
 from .platform_service import PlatformService
 
--- a/src/sardinemill/emulator/platform_service.py
+++ b/src/sardinemill/emulator/platform_service.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from ..control import InstanceInfo, StoreOperation
 from ..errors import StoreAnswerLost, StoreUnavailable
 from ..interfaces import Clock, StoreObject
+from ..members import InstanceInfo
+from ..storecalls import StoreOperation
 from .platform import Platform
 from .service import ChangeSignal
 
--- a/src/sardinemill/emulator/service.py
+++ b/src/sardinemill/emulator/service.py
@@ -6,7 +6,10 @@
 import asyncio
 from collections.abc import Callable
 
-from ..control import (
+from ..errors import UpstreamBusy
+from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
+from ..positions import LogPosition
+from ..replication import (
     AdmitOrder,
     DatabaseReport,
     FenceAnswer,
@@ -14,9 +17,6 @@
     PromoteAnswer,
     PromoteOrder,
 )
-from ..errors import UpstreamBusy
-from ..messages import Action, StatementKind, UpstreamCall, UpstreamResult
-from ..positions import LogPosition
 from .database import Database
 from .log import AppendAnswer, AppendOrder
 
--- a/src/sardinemill/filters/account.py
+++ b/src/sardinemill/filters/account.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ..control import LoanReturn
+from ..loans import LoanReturn
 from ..messages import Request
 from .reserve import Reserve
 
--- a/src/sardinemill/filters/acknowledgement.py
+++ b/src/sardinemill/filters/acknowledgement.py
@@ -7,7 +7,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from ..control import DatabaseReport, GroupsChanged, ReportQuery
 from ..errors import Outcome
 from ..groups import GroupDescription, has_majority
 from ..interfaces import Emission
@@ -21,6 +20,7 @@
     UpstreamResult,
 )
 from ..positions import ORIGIN, LogPosition, SessionPosition
+from ..replication import DatabaseReport, GroupsChanged, ReportQuery
 from .held_requests import REPLY_MARGIN_SECONDS
 
 # A question without an answer is asked again after this time. Questions that wait for
--- a/src/sardinemill/filters/admission.py
+++ b/src/sardinemill/filters/admission.py
@@ -10,15 +10,7 @@
 from collections.abc import Sequence
 
 from ..configuration import ConfigurationChanged
-from ..control import (
-    BorrowRequest,
-    DrainStarted,
-    Loan,
-    MembershipChanged,
-    PeerEnvelope,
-    ReserveQuery,
-    SeatLease,
-)
+from ..control import DrainStarted, PeerEnvelope
 from ..errors import Outcome
 from ..events import Event, EventName
 from ..interfaces import Emission, RandomSource
@@ -30,6 +22,8 @@
     ShardRanking,
     find_shard,
 )
+from ..loans import BorrowRequest, Loan, ReserveQuery, SeatLease
+from ..members import MembershipChanged
 from ..messages import Action, Cancellation, Refusal, RefusalCode, Request
 from .account import (
     RETURN_FRACTION,
--- a/src/sardinemill/filters/database_queue.py
+++ b/src/sardinemill/filters/database_queue.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..control import DatabaseLoad
 from ..messages import Action, Execution, RoutedRequest
+from ..replication import DatabaseLoad
 from .queueing import QueuedWork, QueuePolicy, ServiceTimes
 
 # Routing needs the order of magnitude of a queue, not each change.
--- a/src/sardinemill/filters/detection.py
+++ b/src/sardinemill/filters/detection.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 from typing import Protocol
 
-from ..control import PrimaryOpinion
+from ..replication import PrimaryOpinion
 
 TIMEOUT_SECONDS = 1.0
 # Opinions older than this no longer count; suspicious homes repeat theirs at every
--- a/src/sardinemill/filters/distribution.py
+++ b/src/sardinemill/filters/distribution.py
@@ -5,19 +5,14 @@
 from math import ceil
 
 from ..configuration import ConfigurationChanged, ConfigurationConfirmed
-from ..control import (
-    InstanceInfo,
-    MembershipChanged,
-    PeerEnvelope,
-    StoreReply,
-    VersionAnswer,
-    VersionQuery,
-)
+from ..control import PeerEnvelope, VersionAnswer, VersionQuery
 from ..documents import DocumentCodec
 from ..errors import SardinemillError
 from ..events import Event, EventName
 from ..groups import rank_candidates
 from ..interfaces import Emission, RandomSource
+from ..members import InstanceInfo, MembershipChanged
+from ..storecalls import StoreReply
 from .configuration_state import ConfigurationState
 from .outage import EVIDENCE_LIMIT_SECONDS, OutageEvidence, OutageReport, make_report
 from .store_watch import StoreWatch
--- a/src/sardinemill/filters/election.py
+++ b/src/sardinemill/filters/election.py
@@ -3,9 +3,9 @@
 from collections.abc import Collection, Sequence
 from enum import StrEnum
 
-from ..control import FenceAnswer, FenceOrder, PromoteAnswer, PromoteOrder
 from ..groups import GroupDescription, has_majority
 from ..positions import LogPosition
+from ..replication import FenceAnswer, FenceOrder, PromoteAnswer, PromoteOrder
 
 # An order without an answer is repeated after this time. Orders are idempotent: the
 # database answers a repeat of the same term and orderer as it did the first time.
--- a/src/sardinemill/filters/failover.py
+++ b/src/sardinemill/filters/failover.py
@@ -7,20 +7,19 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ..control import (
+from ..control import PeerEnvelope, PromotionOrdered
+from ..events import Event, EventName
+from ..groups import GroupDescription
+from ..interfaces import Emission, RandomSource
+from ..replication import (
     DatabaseReport,
     FenceAnswer,
     GroupsChanged,
-    PeerEnvelope,
     PrimaryChanged,
     PrimaryOpinion,
     PromoteAnswer,
-    PromotionOrdered,
     ReportQuery,
 )
-from ..events import Event, EventName
-from ..groups import GroupDescription
-from ..interfaces import Emission, RandomSource
 from .detection import FailureDetector
 from .election import Election, Order, Phase
 from .positions_table import Primary
--- a/src/sardinemill/filters/heartbeats.py
+++ b/src/sardinemill/filters/heartbeats.py
@@ -6,8 +6,9 @@
 
 import xxhash
 
-from ..control import Heartbeat, InstanceInfo, InstanceState, PeerEnvelope
+from ..control import PeerEnvelope
 from ..interfaces import Emission, RandomSource
+from ..members import Heartbeat, InstanceInfo, InstanceState
 from .monitors import MonitorTable
 
 HEARTBEAT_SECONDS = 1.0
--- a/src/sardinemill/filters/held_requests.py
+++ b/src/sardinemill/filters/held_requests.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
-from ..control import DatabaseReport, ReportQuery
 from ..errors import Outcome
 from ..groups import GroupDescription
 from ..interfaces import Emission
 from ..messages import Execution, Refusal, RefusalCode, Request
 from ..positions import LogPosition
+from ..replication import DatabaseReport, ReportQuery
 from .positions_table import PositionsTable
 
 # A refusal leaves this long before the deadline, so that it reaches the entry before
--- a/src/sardinemill/filters/homes.py
+++ b/src/sardinemill/filters/homes.py
@@ -7,9 +7,10 @@
     Configuration,
     ConfigurationChanged,
 )
-from ..control import GroupsChanged, InstanceInfo, MembershipChanged
 from ..groups import choose_homes
 from ..interfaces import Emission
+from ..members import InstanceInfo, MembershipChanged
+from ..replication import GroupsChanged
 
 # A group that moved to other homes is kept for as long as its requests may still run;
 # the default time-out of a request is 10 s.
--- a/src/sardinemill/filters/instance_lists.py
+++ b/src/sardinemill/filters/instance_lists.py
@@ -5,19 +5,12 @@
 
 import xxhash
 
-from ..control import (
-    InstanceInfo,
-    InstanceList,
-    InstanceListChange,
-    InstanceListQuery,
-    PeerEnvelope,
-    StoreCall,
-    StoreOperation,
-    StoreReply,
-)
+from ..control import PeerEnvelope
 from ..events import Event, EventName
 from ..groups import rank_candidates
 from ..interfaces import Emission, RandomSource
+from ..members import InstanceInfo, InstanceList, InstanceListChange, InstanceListQuery
+from ..storecalls import StoreCall, StoreOperation, StoreReply
 
 POLL_SECONDS = 2.0
 POLL_TIMEOUT_SECONDS = 2.0
--- a/src/sardinemill/filters/lease.py
+++ b/src/sardinemill/filters/lease.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from ..control import StoreCall, StoreFailure, StoreOperation, StoreReply
 from ..errors import CodecError
 from ..interfaces import RandomSource
 from ..limits import stretch_wait
 from ..records import LeaseCodec, LeaseRecord
+from ..storecalls import StoreCall, StoreFailure, StoreOperation, StoreReply
 
 CALL_TIMEOUT_SECONDS = 1.0
 # A reply that is missing for this long counts as lost.
--- a/src/sardinemill/filters/leasing.py
+++ b/src/sardinemill/filters/leasing.py
@@ -16,22 +16,15 @@
 from collections.abc import Sequence
 from functools import partial
 
-from ..control import (
-    DrainFinished,
-    DrainStarted,
-    MembershipChanged,
-    PeerEnvelope,
-    SeatClosed,
-    ShardClosed,
-    ShardLease,
-    ShardReleased,
-    StoreReply,
-)
+from ..control import DrainFinished, DrainStarted, PeerEnvelope
 from ..events import Event, EventName
 from ..groups import rank_candidates
 from ..interfaces import Emission, RandomSource
 from ..limits import N_PLACES, LimitSettings, ShardRanking
+from ..loans import SeatClosed, ShardClosed, ShardLease, ShardReleased
+from ..members import MembershipChanged
 from ..records import LeaseCodec
+from ..storecalls import StoreReply
 from .lease import NEVER, SEAT_TIMING, SHARD_TIMING, Lease, LeaseTiming, Wish
 from .seating import Seating
 
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -4,16 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..configuration import EMPTY_CONFIGURATION, Configuration, ConfigurationChanged
-from ..control import (
-    BorrowRequest,
-    Loan,
-    LoanReturn,
-    PeerEnvelope,
-    ReservePledge,
-    ReserveQuery,
-    ShardClosed,
-    ShardLease,
-)
+from ..control import PeerEnvelope
 from ..interfaces import Emission
 from ..limits import (
     LOAN_LIFETIME_SECONDS,
@@ -27,6 +18,15 @@
     shrink_wait,
     stretch_wait,
 )
+from ..loans import (
+    BorrowRequest,
+    Loan,
+    LoanReturn,
+    ReservePledge,
+    ReserveQuery,
+    ShardClosed,
+    ShardLease,
+)
 from .ledger import Ledger
 
 PLEDGE_TERM_SECONDS = 3.0
--- a/src/sardinemill/filters/membership.py
+++ b/src/sardinemill/filters/membership.py
@@ -5,8 +5,10 @@
 from dataclasses import replace
 
 from ..configuration import ConfigurationChanged
-from ..control import (
-    DrainStarted,
+from ..control import DrainStarted, PeerEnvelope
+from ..events import Event, EventName
+from ..interfaces import Emission, RandomSource
+from ..members import (
     Heartbeat,
     InstanceInfo,
     InstanceList,
@@ -14,12 +16,9 @@
     InstanceListQuery,
     InstanceState,
     MembershipChanged,
-    PeerEnvelope,
-    StoreReply,
     SuspicionReport,
 )
-from ..events import Event, EventName
-from ..interfaces import Emission, RandomSource
+from ..storecalls import StoreReply
 from .heartbeats import HEARTBEAT_SECONDS, LISTED_ANNOUNCEMENT_SECONDS, Heartbeats
 from .instance_lists import InstanceLists
 from .monitors import MonitorTable
--- a/src/sardinemill/filters/orders.py
+++ b/src/sardinemill/filters/orders.py
@@ -3,21 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ..control import (
-    DrainOrdered,
-    InstanceInfo,
-    MembershipChanged,
-    OrderNotice,
-    PeerEnvelope,
-    PromotionOrdered,
-    StoreCall,
-    StoreOperation,
-    StoreReply,
-)
+from ..control import DrainOrdered, OrderNotice, PeerEnvelope, PromotionOrdered
 from ..documents import DRAINS_PREFIX, PROMOTIONS_PREFIX
 from ..events import Event, EventName
 from ..groups import choose_homes
 from ..interfaces import Emission, RandomSource
+from ..members import InstanceInfo, MembershipChanged
+from ..storecalls import StoreCall, StoreOperation, StoreReply
 from .instance_lists import choose_relays
 
 # Two relays in each of 5 data centres list two prefixes: 10 store calls a second,
--- a/src/sardinemill/filters/placement.py
+++ b/src/sardinemill/filters/placement.py
@@ -8,14 +8,13 @@
     ForwardedCancellation,
     ForwardedReply,
     ForwardedRequest,
-    InstanceInfo,
-    MembershipChanged,
     PeerEnvelope,
 )
 from ..errors import Outcome
 from ..events import Event, EventName
 from ..groups import choose_homes
 from ..interfaces import Emission
+from ..members import InstanceInfo, MembershipChanged
 from ..messages import (
     Action,
     Answer,
--- a/src/sardinemill/filters/positions_table.py
+++ b/src/sardinemill/filters/positions_table.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
-from ..control import DatabaseReport, PrimaryChanged, ReportFailure, Role
 from ..groups import GroupDescription
 from ..positions import ORIGIN, LogPosition, Watermark
+from ..replication import DatabaseReport, PrimaryChanged, ReportFailure, Role
 
 # Watermarks closer together than this replace each other; the history then covers a
 # minute of accepted staleness with 1,200 entries.
--- a/src/sardinemill/filters/primary_watch.py
+++ b/src/sardinemill/filters/primary_watch.py
@@ -1,8 +1,8 @@
 """What the failover filter knows about one group, and when it acts on it."""
 
-from ..control import DatabaseReport
 from ..groups import GroupDescription, has_majority
 from ..positions import LogPosition
+from ..replication import DatabaseReport
 from .detection import FailureDetector
 from .positions_table import Primary, is_active_primary, is_out_of_office
 
--- a/src/sardinemill/filters/read_choice.py
+++ b/src/sardinemill/filters/read_choice.py
@@ -3,9 +3,9 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from ..control import DatabaseLoad
 from ..groups import DatabaseDescription, count_home_connections
 from ..positions import LogPosition
+from ..replication import DatabaseLoad
 from .positions_table import PositionsTable
 
 # Longest time that a read waits for a replica before it uses the primary.
--- a/src/sardinemill/filters/readmission.py
+++ b/src/sardinemill/filters/readmission.py
@@ -20,11 +20,11 @@
 
 from dataclasses import dataclass
 
-from ..control import AdmitOrder, DatabaseReport
 from ..events import Event, EventName
 from ..groups import GroupDescription
 from ..interfaces import Emission
 from ..positions import LogPosition
+from ..replication import AdmitOrder, DatabaseReport
 from .positions_table import is_active_primary
 
 
--- a/src/sardinemill/filters/reception.py
+++ b/src/sardinemill/filters/reception.py
@@ -10,7 +10,6 @@
     ForwardedCancellation,
     ForwardedReply,
     ForwardedRequest,
-    GroupsChanged,
     PeerEnvelope,
 )
 from ..errors import Outcome
@@ -24,6 +23,7 @@
     Reply,
     Request,
 )
+from ..replication import GroupsChanged
 
 STEP = "reception"
 # Ids are remembered for longer than any copy of a request can be under way: sockets
--- a/src/sardinemill/filters/reserve.py
+++ b/src/sardinemill/filters/reserve.py
@@ -1,7 +1,6 @@
 """Static reserve of an instance's seat, for when no shard owner can be reached."""
 
 from ..configuration import EMPTY_CONFIGURATION, Configuration
-from ..control import ReservePledge, ReserveQuery, SeatClosed, SeatLease
 from ..limits import (
     NO_SHARE,
     PLAN_DELAY_SECONDS,
@@ -12,6 +11,7 @@
     share_of_seat,
     slow_rate,
 )
+from ..loans import ReservePledge, ReserveQuery, SeatClosed, SeatLease
 
 
 class Reserve:
--- a/src/sardinemill/filters/routing.py
+++ b/src/sardinemill/filters/routing.py
@@ -9,14 +9,6 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from ..control import (
-    DatabaseLoad,
-    DatabaseReport,
-    GroupsChanged,
-    PrimaryChanged,
-    ReportFailure,
-    ReportQuery,
-)
 from ..errors import Outcome
 from ..interfaces import Emission
 from ..messages import (
@@ -28,6 +20,14 @@
     RoutedRequest,
 )
 from ..positions import LogPosition
+from ..replication import (
+    DatabaseLoad,
+    DatabaseReport,
+    GroupsChanged,
+    PrimaryChanged,
+    ReportFailure,
+    ReportQuery,
+)
 from .held_requests import (
     ROUND_RETRY_SECONDS,
     GroupState,
--- a/src/sardinemill/filters/scheduling.py
+++ b/src/sardinemill/filters/scheduling.py
@@ -8,7 +8,7 @@
     ConfigurationChanged,
     ConfigurationConfirmed,
 )
-from ..control import DrainFinished, DrainStarted, GroupsChanged
+from ..control import DrainFinished, DrainStarted
 from ..errors import Outcome
 from ..events import Event, EventName
 from ..groups import count_home_connections
@@ -21,6 +21,7 @@
     Request,
     RoutedRequest,
 )
+from ..replication import GroupsChanged
 from .authentication import Authorization, KeyPolicy
 from .calls import make_dispatch, refuse_queued
 from .database_queue import DatabaseQueue, LoadReports, RunningWork
--- a/src/sardinemill/filters/seating.py
+++ b/src/sardinemill/filters/seating.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable, Sequence
 
-from ..control import SeatLease, StoreCall, StoreReply
 from ..interfaces import RandomSource
+from ..loans import SeatLease
+from ..storecalls import StoreCall, StoreReply
 from .lease import NEVER, Lease, Wish
 
 # With one seat in 16 free, two searches in three find one at once; the others find one
--- a/src/sardinemill/filters/signs.py
+++ b/src/sardinemill/filters/signs.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..control import Heartbeat, InstanceInfo
+from ..members import Heartbeat, InstanceInfo
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/filters/store_watch.py
+++ b/src/sardinemill/filters/store_watch.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ..control import StoreCall, StoreOperation, StoreReply
 from ..documents import HEAD_NAME, PARTS_PREFIX, name_part_object
 from ..interfaces import RandomSource
+from ..storecalls import StoreCall, StoreOperation, StoreReply
 from .configuration_state import ConfigurationState
 
 # A relay's confirmation is at most two watches old. With the pull of a second and the
--- a/src/sardinemill/filters/suspicion.py
+++ b/src/sardinemill/filters/suspicion.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import replace
 
-from ..control import Heartbeat, InstanceState, SuspicionReport
+from ..members import Heartbeat, InstanceState, SuspicionReport
 from .monitors import MonitorTable
 from .signs import ReceivedReport, Sign, Watch
 
--- a/src/sardinemill/filters/suspicion_reports.py
+++ b/src/sardinemill/filters/suspicion_reports.py
@@ -20,7 +20,7 @@
 
 import math
 
-from ..control import SuspicionReport
+from ..members import SuspicionReport
 
 REPORT_SECONDS = 5.0
 # Suspicions of one fault come within a heartbeat of each other; one report carries
--- a/src/sardinemill/fleet_operations.py
+++ b/src/sardinemill/fleet_operations.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .control import InstanceInfo, InstanceState
 from .documents import DRAINS_PREFIX, PROMOTIONS_PREFIX, Order
 from .errors import StoreConflict, StoreUnavailable
+from .members import InstanceInfo, InstanceState
 from .operations import OperationContext
 from .status import Status
 
--- a/src/sardinemill/interfaces.py
+++ b/src/sardinemill/interfaces.py
@@ -4,19 +4,19 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .control import (
+from .control import PeerEnvelope
+from .groups import DatabaseDescription
+from .members import InstanceInfo
+from .messages import UpstreamCall, UpstreamResult
+from .positions import LogPosition
+from .replication import (
     AdmitOrder,
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
-    InstanceInfo,
-    PeerEnvelope,
     PromoteAnswer,
     PromoteOrder,
 )
-from .groups import DatabaseDescription
-from .messages import UpstreamCall, UpstreamResult
-from .positions import LogPosition
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/measurements.py
+++ b/src/sardinemill/measurements.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, replace
 
 from .configuration import ConfigurationChanged, ConfigurationConfirmed
-from .control import DatabaseLoad, GroupsChanged, MembershipChanged, PrimaryChanged
 from .interfaces import Clock
+from .members import MembershipChanged
 from .messages import (
     Action,
     Answer,
@@ -15,6 +15,7 @@
     Reply,
     Request,
 )
+from .replication import DatabaseLoad, GroupsChanged, PrimaryChanged
 from .telemetry import Metric, Telemetry
 
 # Label of a statement that was refused before its kind was known.
--- a/src/sardinemill/status.py
+++ b/src/sardinemill/status.py
@@ -4,14 +4,10 @@
 from dataclasses import dataclass, field
 
 from .configuration import ConfigurationChanged, ConfigurationConfirmed
-from .control import (
-    DrainStarted,
-    GroupsChanged,
-    InstanceState,
-    MembershipChanged,
-    PrimaryChanged,
-)
+from .control import DrainStarted
+from .members import InstanceState, MembershipChanged
 from .messages import Answer, Refusal
+from .replication import GroupsChanged, PrimaryChanged
 
 # Longer than the platform's list lags; after it, an instance that knows no other is
 # taken for the only one.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,7 @@
 """Messages with the fields that a test does not care about filled in."""
 
-from sardinemill.control import InstanceInfo
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
+from sardinemill.members import InstanceInfo
 from sardinemill.messages import (
     Action,
     Refusal,
--- a/tests/faulty_store.py
+++ b/tests/faulty_store.py
@@ -4,10 +4,10 @@
 import random
 from collections.abc import Sequence
 
-from sardinemill.control import InstanceInfo
 from sardinemill.documents import HEAD_NAME
 from sardinemill.errors import StoreConflict, StoreUnavailable
 from sardinemill.interfaces import StoreObject
+from sardinemill.members import InstanceInfo
 
 
 class FaultyStore:
--- a/tests/membership_network.py
+++ b/tests/membership_network.py
@@ -6,15 +6,10 @@
 from builders import make_info
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.codecs import decode_message, encode_message
-from sardinemill.control import (
-    Heartbeat,
-    MembershipChanged,
-    PeerEnvelope,
-    StoreCall,
-    StoreFailure,
-    StoreReply,
-)
+from sardinemill.control import PeerEnvelope
 from sardinemill.filters.membership import Membership
+from sardinemill.members import Heartbeat, MembershipChanged
+from sardinemill.storecalls import StoreCall, StoreFailure, StoreReply
 
 MAX_DELAY_SECONDS = 0.05
 
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -11,11 +11,11 @@
 from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
 from sardinemill.composition import Edges, Instance
 from sardinemill.configuration import Key, Plan, Workspace, hash_key
-from sardinemill.control import InstanceInfo
 from sardinemill.documents import HEAD_NAME, Head, Part, name_part_object
 from sardinemill.errors import Outcome, UpstreamUnavailable
 from sardinemill.events import EventName
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
+from sardinemill.members import InstanceInfo
 from sardinemill.settings import Settings
 
 DATA_CENTRES = ("north", "south")
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -10,19 +10,7 @@
 from dataclasses import dataclass, field, replace
 
 from sardinemill.adapters.clocks import SeededRandom
-from sardinemill.control import (
-    AdmitOrder,
-    DatabaseReport,
-    FenceAnswer,
-    FenceOrder,
-    GroupsChanged,
-    PeerEnvelope,
-    PromoteAnswer,
-    PromoteOrder,
-    ReportFailure,
-    ReportQuery,
-    Role,
-)
+from sardinemill.control import PeerEnvelope
 from sardinemill.errors import Outcome
 from sardinemill.events import Event
 from sardinemill.filters.acknowledgement import Acknowledgement
@@ -45,6 +33,18 @@
     UpstreamResult,
 )
 from sardinemill.positions import ORIGIN, LogPosition
+from sardinemill.replication import (
+    AdmitOrder,
+    DatabaseReport,
+    FenceAnswer,
+    FenceOrder,
+    GroupsChanged,
+    PromoteAnswer,
+    PromoteOrder,
+    ReportFailure,
+    ReportQuery,
+    Role,
+)
 
 GROUP = GroupDescription(
     name="hives",
--- a/tests/test_acknowledgement.py
+++ b/tests/test_acknowledgement.py
@@ -3,11 +3,11 @@
 from dataclasses import replace
 
 from replication_world import GROUP, HOMES, make_execution, make_report, make_request
-from sardinemill.control import GroupsChanged, ReportQuery
 from sardinemill.errors import Outcome
 from sardinemill.filters.acknowledgement import Acknowledgement
 from sardinemill.messages import Action, Answer, RoutedRequest, StatementKind
 from sardinemill.positions import ORIGIN, LogPosition
+from sardinemill.replication import GroupsChanged, ReportQuery
 
 WRITE = make_request("w1", StatementKind.WRITE, deadline=5.0)
 
--- a/tests/test_emulator_database.py
+++ b/tests/test_emulator_database.py
@@ -9,7 +9,6 @@
 
 from replication_world import GROUP as WORLD_GROUP
 from sardinemill.adapters.memory_upstream import MemoryGroup
-from sardinemill.control import AdmitOrder, FenceOrder, PromoteOrder
 from sardinemill.emulator.database import (
     IDEMPOTENCY_KEPT_SECONDS,
     TRANSACTION_IDLE_SECONDS,
@@ -27,6 +26,7 @@
 from sardinemill.filters.readmission import Readmission
 from sardinemill.messages import Action, Statement, StatementKind, UpstreamCall
 from sardinemill.positions import LogPosition
+from sardinemill.replication import AdmitOrder, FenceOrder, PromoteOrder
 
 NAMES = ("a", "b", "c")
 ORDERERS = ("north", "south")
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies as st
 
 from replication_world import DATABASES, GROUP, HOMES, FakeDatabase, World
-from sardinemill.control import FenceOrder
 from sardinemill.errors import Outcome
 from sardinemill.filters.detection import (
     AccrualDetector,
@@ -16,6 +15,7 @@
 from sardinemill.filters.election import Election, Phase
 from sardinemill.messages import Answer, Refusal, Reply, StatementKind
 from sardinemill.positions import ORIGIN
+from sardinemill.replication import FenceOrder
 
 DETECTORS = {
     "timeout": TimeoutDetector,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,13 +10,6 @@
 from hypothesis import strategies as st
 
 from sardinemill.configuration import Configuration, Plan, Workspace
-from sardinemill.control import (
-    ReserveQuery,
-    SeatClosed,
-    SeatLease,
-    ShardClosed,
-    ShardLease,
-)
 from sardinemill.filters.account import Account, LocalLoan
 from sardinemill.filters.ledger import Ledger
 from sardinemill.filters.lending import Lending
@@ -30,6 +23,13 @@
     Share,
     find_shard,
 )
+from sardinemill.loans import (
+    ReserveQuery,
+    SeatClosed,
+    SeatLease,
+    ShardClosed,
+    ShardLease,
+)
 from sardinemill.messages import Action, RefusalCode
 
 N_INSTANCES = 4
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,23 +5,20 @@
 from builders import make_info
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.configuration import Configuration, ConfigurationChanged
-from sardinemill.control import (
-    DrainStarted,
-    GroupsChanged,
-    Heartbeat,
-    InstanceList,
-    InstanceState,
-    MembershipChanged,
-    PeerEnvelope,
-    StoreCall,
-    StoreFailure,
-    StoreReply,
-)
+from sardinemill.control import DrainStarted, PeerEnvelope
 from sardinemill.filters.homes import LINGER_SECONDS, Homes
 from sardinemill.filters.instance_lists import POLL_SECONDS, choose_relays
 from sardinemill.filters.membership import Membership
 from sardinemill.filters.suspicion import ISOLATION_SECONDS, SILENCE_SECONDS
 from sardinemill.groups import GroupDescription
+from sardinemill.members import (
+    Heartbeat,
+    InstanceList,
+    InstanceState,
+    MembershipChanged,
+)
+from sardinemill.replication import GroupsChanged
+from sardinemill.storecalls import StoreCall, StoreFailure, StoreReply
 
 
 class Fleet:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,14 +4,9 @@
 
 from memory_fleet import MemoryFleet, post
 from sardinemill.adapters.clocks import SeededRandom
-from sardinemill.control import (
-    DrainOrdered,
-    OrderNotice,
-    PeerEnvelope,
-    StoreFailure,
-    StoreReply,
-)
+from sardinemill.control import DrainOrdered, OrderNotice, PeerEnvelope
 from sardinemill.filters.orders import Orders
+from sardinemill.storecalls import StoreFailure, StoreReply
 from test_composition import create_table
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,12 +9,8 @@
 from sardinemill.adapters.clocks import SeededRandom, SystemClock, SystemRandom
 from sardinemill.adapters.memory_peers import MemoryHub, MemoryPeerLink
 from sardinemill.adapters.peers import ZmqPeerLink
-from sardinemill.control import (
-    ForwardedCancellation,
-    Heartbeat,
-    InstanceState,
-    PeerEnvelope,
-)
+from sardinemill.control import ForwardedCancellation, PeerEnvelope
+from sardinemill.members import Heartbeat, InstanceState
 
 
 class Collector:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,8 +16,6 @@
     DrainStarted,
     ForwardedReply,
     ForwardedRequest,
-    GroupsChanged,
-    MembershipChanged,
     PeerEnvelope,
 )
 from sardinemill.errors import Outcome
@@ -28,12 +26,14 @@
 )
 from sardinemill.filters.reception import Reception
 from sardinemill.groups import choose_homes
+from sardinemill.members import MembershipChanged
 from sardinemill.messages import (
     Action,
     Answer,
     Cancellation,
     RefusalCode,
 )
+from sardinemill.replication import GroupsChanged
 
 NAMES = ("a", "b", "c", "d")
 INFOS = tuple(make_info(name, name) for name in NAMES)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -6,7 +6,6 @@
 from builders import GROUP, make_request, make_routed, make_statement
 from sardinemill.adapters.clocks import SeededRandom, SystemClock
 from sardinemill.adapters.pool import PoolSet
-from sardinemill.control import GroupsChanged
 from sardinemill.errors import (
     Outcome,
     StatementError,
@@ -21,6 +20,7 @@
     UpstreamCall,
     UpstreamResult,
 )
+from sardinemill.replication import GroupsChanged
 
 GROUPS = GroupsChanged(groups=(GROUP,), homes=())
 
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -6,7 +6,10 @@
 from replication_world import DATABASES, GROUP, HOMES, FakeDatabase
 from sardinemill.adapters.clocks import SeededRandom, SystemClock
 from sardinemill.adapters.prober import Prober
-from sardinemill.control import (
+from sardinemill.errors import UpstreamUnavailable
+from sardinemill.pipeline import Inbox
+from sardinemill.positions import LogPosition
+from sardinemill.replication import (
     DatabaseReport,
     FenceAnswer,
     FenceOrder,
@@ -14,9 +17,6 @@
     ReportFailure,
     ReportQuery,
 )
-from sardinemill.errors import UpstreamUnavailable
-from sardinemill.pipeline import Inbox
-from sardinemill.positions import LogPosition
 
 
 class FakeControl:
--- a/tests/test_readmission.py
+++ b/tests/test_readmission.py
@@ -5,10 +5,10 @@
 import pytest
 
 from replication_world import GROUP, make_report
-from sardinemill.control import AdmitOrder, Role
 from sardinemill.filters.readmission import Readmission
 from sardinemill.groups import GroupDescription
 from sardinemill.positions import LogPosition
+from sardinemill.replication import AdmitOrder, Role
 
 
 def make_group(n_slots: int) -> GroupDescription:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,6 @@
     make_report,
     make_request,
 )
-from sardinemill.control import GroupsChanged, Role
 from sardinemill.errors import Outcome
 from sardinemill.filters.positions_table import derive_watermark
 from sardinemill.filters.routing import Routing
@@ -23,6 +22,7 @@
     StatementKind,
 )
 from sardinemill.positions import LogPosition
+from sardinemill.replication import GroupsChanged, Role
 
 READ = make_request("r1", StatementKind.READ, deadline=5.0, staleness_seconds=1.0)
 BEGIN = make_request("b1", StatementKind.WRITE, deadline=5.0)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -22,7 +22,6 @@
     Plan,
     Workspace,
 )
-from sardinemill.control import DatabaseLoad, GroupsChanged
 from sardinemill.errors import Outcome
 from sardinemill.filters.authentication import AvailableKeyPolicy
 from sardinemill.filters.calls import hash_statement
@@ -42,6 +41,7 @@
     RefusalCode,
     UpstreamResult,
 )
+from sardinemill.replication import DatabaseLoad, GroupsChanged
 
 N_PERMITS = 4
 DATABASE = replace(DATABASE, n_connections=4 * N_PERMITS)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,13 +8,6 @@
 from sardinemill.adapters.memory_store import MemoryStore
 from sardinemill.adapters.store import HttpStore
 from sardinemill.adapters.store_task import StoreTask
-from sardinemill.control import (
-    InstanceInfo,
-    InstanceState,
-    StoreCall,
-    StoreFailure,
-    StoreOperation,
-)
 from sardinemill.emulator.platform import (
     MAX_VALUE_BYTES,
     NO_FAULTS,
@@ -31,6 +24,8 @@
     StoreUnavailable,
 )
 from sardinemill.groups import Address
+from sardinemill.members import InstanceInfo, InstanceState
+from sardinemill.storecalls import StoreCall, StoreFailure, StoreOperation
 
 CALL_SECONDS = 0.2
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -10,13 +10,7 @@
 
 from builders import make_info
 from membership_network import Network
-from sardinemill.control import (
-    DrainStarted,
-    InstanceList,
-    InstanceListChange,
-    PeerEnvelope,
-    SuspicionReport,
-)
+from sardinemill.control import DrainStarted, PeerEnvelope
 from sardinemill.filters.instance_lists import (
     DIGEST_SECONDS,
     POLL_SECONDS,
@@ -25,6 +19,7 @@
 from sardinemill.filters.suspicion import ISOLATION_SECONDS, N_TAKEOVER, SILENCE_SECONDS
 from sardinemill.filters.suspicion_reports import REPORT_SECONDS
 from sardinemill.groups import rank_candidates
+from sardinemill.members import InstanceList, InstanceListChange, SuspicionReport
 
 VIEW_SECONDS = ISOLATION_SECONDS + 1.1 + 1.0 + REPORT_SECONDS
 NAMES = [f"{place}{number}" for place in "xyz" for number in range(6)]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,6 @@
 from sardinemill.adapters.clocks import SystemClock
 from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
 from sardinemill.adapters.upstream import WebSocketConnector
-from sardinemill.control import AdmitOrder, FenceOrder, PromoteOrder, Role
 from sardinemill.emulator.database_server import DatabaseOptions, DatabaseServer
 from sardinemill.errors import (
     Outcome,
@@ -24,6 +23,7 @@
 from sardinemill.groups import Address, DatabaseDescription
 from sardinemill.messages import Action, Statement, StatementKind, UpstreamCall
 from sardinemill.positions import LogPosition
+from sardinemill.replication import AdmitOrder, FenceOrder, PromoteOrder, Role
 
 NAMES = ("a", "b", "c")
 CONNECT_SECONDS = 5.0
