--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -8,19 +8,13 @@
 import zmq
 
 from ..codecs import encode_message
-from ..control import (
-    BorrowRequest,
-    InstanceInfo,
-    InstanceListQuery,
-    MembershipChanged,
-    PeerEnvelope,
-    ReserveQuery,
-    VersionQuery,
-)
+from ..control import PeerEnvelope, VersionQuery
 from ..errors import CodecError
 from ..events import Event, EventName
 from ..groups import Address
 from ..interfaces import Clock, Outlet, RandomSource
+from ..loans import BorrowRequest, ReserveQuery
+from ..members import InstanceInfo, InstanceListQuery, MembershipChanged
 from ..pipeline import Inbox
 from .peer_connection import SEND_QUEUE_LENGTH, PeerConnection, choose_ping_seconds
 from .peer_traffic import PeerCounters, Receiver
