--- a/src/sardinemill/composition.py
+++ b/src/sardinemill/composition.py
@@ -1,8 +1,6 @@
 """Composition root: makes the parts of one instance and binds their outlets."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Protocol
+from collections.abc import Mapping
 
 from . import control, loans, members, replication
 from .adapters.documents import MessagePackDocuments
@@ -12,22 +10,12 @@
 from .adapters.store_task import StoreTask
 from .application import Application, Part, TaskPart
 from .draining import DrainPart
+from .edges import Edges
 from .events import Event, EventName
 from .filters.acknowledgement import Acknowledgement
 from .filters.admission import Admission
-from .filters.authentication import (
-    Authentication,
-    AvailableKeyPolicy,
-    KeyPolicy,
-    StrictKeyPolicy,
-)
+from .filters.authentication import Authentication
 from .filters.classification import Classification
-from .filters.detection import (
-    AccrualDetector,
-    FailureDetector,
-    ObserverDetector,
-    TimeoutDetector,
-)
 from .filters.distribution import Distribution
 from .filters.failover import Failover
 from .filters.homes import Homes
@@ -36,74 +24,24 @@
 from .filters.membership import Membership
 from .filters.orders import Orders
 from .filters.placement import Placement
-from .filters.queueing import (
-    FirstInFirstOut,
-    QueuePolicy,
-    ServiceTimes,
-    WeightedFairQueueing,
-)
 from .filters.reception import Reception
 from .filters.routing import Routing
 from .filters.scheduling import Scheduling
 from .groups import Address
 from .interfaces import (
-    Clock,
     Emission,
     Filter,
     Outlet,
-    PeerLink,
-    RandomSource,
-    Store,
-    UpstreamConnector,
 )
 from .limits import LimitSettings
 from .outlets import EnvelopeRouter, FanOut, Tap, TypeRouter
 from .pipeline import Stage
+from .policies import DETECTORS, KEY_POLICIES, QUEUE_POLICIES
 from .records import JsonLeaseCodec
 from .settings import Settings
 from .status import StatusBoard
 from .tokens import TokenSigner
 
-KEY_POLICIES: Mapping[str, Callable[[], KeyPolicy]] = {
-    "strict": StrictKeyPolicy,
-    "available": AvailableKeyPolicy,
-}
-DETECTORS: Mapping[str, Callable[[], FailureDetector]] = {
-    "timeout": TimeoutDetector,
-    "observers": lambda: ObserverDetector(TimeoutDetector()),
-    "accrual": AccrualDetector,
-}
-QUEUE_POLICIES: Mapping[str, Callable[[ServiceTimes], QueuePolicy]] = {
-    "fifo": FirstInFirstOut,
-    "fair": WeightedFairQueueing,
-}
-
-
-class PeerLinkPart(PeerLink, Part, Protocol):
-    """Peer link with the life cycle of a part."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Edges:
-    """Adapters that reach outside the process.
-
-    :param events: receives log events.
-    :param make_peer_link: makes the link, given the receiver of envelopes.
-    :param stop: receives :class:`~sardinemill.control.DrainOrdered`.
-    :param parts: adapters with a life cycle, started before everything else.
-    :param observer: receives copies of the messages that are counted, if any.
-    """
-
-    clock: Clock
-    random_source: RandomSource
-    store: Store
-    connector: UpstreamConnector
-    events: Outlet
-    make_peer_link: Callable[[Outlet], PeerLinkPart]
-    stop: Outlet
-    parts: tuple[Part, ...] = ()
-    observer: Outlet | None = None
-
 
 class Instance:
     """Wired parts of one instance.
--- a/src/sardinemill/daemon.py
+++ b/src/sardinemill/daemon.py
@@ -12,7 +12,8 @@
 from .adapters.peers import ZmqPeerLink
 from .adapters.store import HttpStore
 from .adapters.upstream import WebSocketConnector
-from .composition import Edges, Instance
+from .composition import Instance
+from .edges import Edges
 from .errors import SettingsError
 from .groups import Address
 from .interfaces import Outlet
--- a/src/sardinemill/emulator/delays.py
+++ b/src/sardinemill/emulator/delays.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from ..composition import Edges, PeerLinkPart
 from ..control import PeerEnvelope
+from ..edges import Edges, PeerLinkPart
 from ..groups import DatabaseDescription
 from ..interfaces import (
     Clock,
--- a/src/sardinemill/emulator/instance_daemon.py
+++ b/src/sardinemill/emulator/instance_daemon.py
@@ -5,8 +5,8 @@
 
 import os
 
-from ..composition import Edges
 from ..daemon import run_main
+from ..edges import Edges
 from ..settings import Settings
 from .delays import delay_edges
 
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -9,9 +9,10 @@
 from sardinemill.adapters.memory_peers import MemoryHub, MemoryPeerLink
 from sardinemill.adapters.memory_store import MemoryStore
 from sardinemill.adapters.memory_upstream import MemoryConnector, MemoryGroup
-from sardinemill.composition import Edges, Instance
+from sardinemill.composition import Instance
 from sardinemill.configuration import Key, Plan, Workspace, hash_key
 from sardinemill.documents import HEAD_NAME, Head, Part, name_part_object
+from sardinemill.edges import Edges
 from sardinemill.errors import Outcome, UpstreamUnavailable
 from sardinemill.events import EventName
 from sardinemill.groups import Address, DatabaseDescription, GroupDescription
