Tell the two choices of relays apart by name

Cause: two functions named choose_relays chose different instances, those that watch the configuration and those that read the platform's list.

--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -13,7 +13,7 @@
 from sardinemill.codecs import decode_message, encode_message
 from sardinemill.control import PeerEnvelope
 from sardinemill.filters import monitors
-from sardinemill.filters.instance_lists import ENTRY_BYTES, choose_relays
+from sardinemill.filters.instance_lists import ENTRY_BYTES, choose_list_relays
 from sardinemill.filters.membership import Membership
 from sardinemill.groups import Address
 from sardinemill.interfaces import Emission
@@ -86,7 +86,7 @@
         relays = {
             name
             for place in {item.data_centre for item in infos}
-            for name in choose_relays(place, infos)
+            for name in choose_list_relays(place, infos)
         }
         others = [item.name for item in infos if item.name not in relays]
         self.plain = set(others[:n_samples])
--- a/src/sardinemill/filters/distribution.py
+++ b/src/sardinemill/filters/distribution.py
@@ -46,7 +46,9 @@
     sent_at: float
 
 
-def choose_relays(instances: Sequence[InstanceInfo]) -> dict[str, list[str]]:
+def choose_configuration_relays(
+    instances: Sequence[InstanceInfo],
+) -> dict[str, list[str]]:
     """Choose the instances that watch the store.
 
     :param instances: live instances.
@@ -153,7 +155,7 @@
         self._evidence.add_data_centres(
             item.data_centre for item in (*message.live, *message.leaving)
         )
-        self._relays = choose_relays(message.live)
+        self._relays = choose_configuration_relays(message.live)
         self._relays.setdefault(self._data_centre, [])
         self._others = [item.name for item in message.live if item.name != self._name]
         is_relay = self._name in self._relays[self._data_centre]
--- a/src/sardinemill/filters/instance_lists.py
+++ b/src/sardinemill/filters/instance_lists.py
@@ -27,7 +27,7 @@
 N_RELAYS = 2
 
 
-def choose_relays(
+def choose_list_relays(
     data_centre: str, instances: Iterable[InstanceInfo], n_relays: int = N_RELAYS
 ) -> list[str]:
     """Choose the instances of a data centre that talk to the platform for the others.
@@ -106,7 +106,7 @@
     ) -> None:
         """Take the live instances, this one included, and the other candidates."""
         self._live = live
-        self._relays = choose_relays(self._data_centre, live)
+        self._relays = choose_list_relays(self._data_centre, live)
         self._others = [item.name for item in candidates]
         self._near = [
             item.name for item in candidates if item.data_centre == self._data_centre
--- a/src/sardinemill/filters/orders.py
+++ b/src/sardinemill/filters/orders.py
@@ -10,7 +10,7 @@
 from ..interfaces import Emission, RandomSource
 from ..members import InstanceInfo, MembershipChanged
 from ..storecalls import StoreCall, StoreOperation, StoreReply
-from .instance_lists import choose_relays
+from .instance_lists import choose_list_relays
 
 # Two relays in each of 5 data centres list two prefixes: 10 store calls a second,
 # whatever the size of the fleet.
@@ -66,7 +66,7 @@
 
     def tick(self, now: float) -> Sequence[Emission]:
         self._poll_at = now + POLL_SECONDS * (0.9 + 0.2 * self._random.random())
-        if self._name not in choose_relays(self._data_centre, self._live):
+        if self._name not in choose_list_relays(self._data_centre, self._live):
             return ()
         return tuple(
             self._call(StoreOperation.LIST_NAMES, prefix)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 from sardinemill.configuration import Configuration, ConfigurationChanged
 from sardinemill.control import DrainStarted, PeerEnvelope
 from sardinemill.filters.homes import LINGER_SECONDS, Homes
-from sardinemill.filters.instance_lists import POLL_SECONDS, choose_relays
+from sardinemill.filters.instance_lists import POLL_SECONDS, choose_list_relays
 from sardinemill.filters.membership import Membership
 from sardinemill.filters.suspicion import ISOLATION_SECONDS, SILENCE_SECONDS
 from sardinemill.groups import GroupDescription
@@ -93,7 +93,7 @@
     assert all(fleet.names(name) == set("abcd") for name in "abcd")
     fleet.polls.clear()
     fleet.advance(10 * POLL_SECONDS)
-    relays = choose_relays("x", fleet.infos.values())
+    relays = choose_list_relays("x", fleet.infos.values())
     assert set(fleet.polls) == set(relays) and len(relays) == 2
     fleet.is_store_up = False
     fleet.silent = {"b"}
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -14,7 +14,7 @@
 from sardinemill.filters.instance_lists import (
     DIGEST_SECONDS,
     POLL_SECONDS,
-    choose_relays,
+    choose_list_relays,
 )
 from sardinemill.filters.suspicion import ISOLATION_SECONDS, N_TAKEOVER, SILENCE_SECONDS
 from sardinemill.filters.suspicion_reports import REPORT_SECONDS
@@ -172,7 +172,7 @@
     network.listed = tuple(item for item in network.listed if item.name != "x5")
     network.advance(POLL_SECONDS + 1.0)
     assert InstanceList not in network.sent
-    relays = choose_relays("x", [network.infos[name] for name in NAMES[:5]])
+    relays = choose_list_relays("x", [network.infos[name] for name in NAMES[:5]])
     receiver = next(name for name in NAMES[:5] if name not in relays)
     network.listed += (make_info("x9", "x"),)
     network.lost_types = (InstanceListChange,)
