--- a/src/sardinemill/adapters/clocks.py
+++ b/src/sardinemill/adapters/clocks.py
@@ -16,6 +16,19 @@
         await asyncio.sleep(seconds)
 
 
+class BootClock:
+    """Monotonic clock that also counts the time for which the machine was suspended.
+
+    Leases need it: a right must not outlive a pause that others did not share.
+    """
+
+    def now(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
 class ManualClock:
     """Clock that moves only when told to.
 
--- a/src/sardinemill/adapters/peer_traffic.py
+++ b/src/sardinemill/adapters/peer_traffic.py
@@ -5,6 +5,7 @@
 from ..codecs import decode_message
 from ..control import PeerEnvelope
 from ..errors import CodecError
+from ..fleet.messages import FleetQuestion
 from ..interfaces import Outlet
 from ..members import Heartbeat
 
@@ -61,6 +62,8 @@
 
 
 def _introduces(message: object, sender: str) -> bool:
+    if isinstance(message, FleetQuestion):
+        return message.instance == sender
     return (
         isinstance(message, Heartbeat)
         and message.info is not None
--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -11,6 +11,7 @@
 from ..control import PeerEnvelope, VersionQuery
 from ..errors import CodecError
 from ..events import Event, EventName
+from ..fleet.messages import FleetQuestion, TokenRequest
 from ..groups import Address
 from ..interfaces import Clock, Outlet, RandomSource
 from ..loans import BorrowRequest, ReserveQuery
@@ -40,7 +41,14 @@
 
 # The peer answers these at once. Most peers only get heartbeats or replies, and their
 # silence says nothing: connections that fail under those are found by the pings.
-_QUESTIONS = (BorrowRequest, InstanceListQuery, ReserveQuery, VersionQuery)
+_QUESTIONS = (
+    BorrowRequest,
+    FleetQuestion,
+    InstanceListQuery,
+    ReserveQuery,
+    TokenRequest,
+    VersionQuery,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -8,6 +8,7 @@
 
 from . import control, loans, members, replication
 from .errors import CodecError
+from .fleet import messages as fleet_messages
 from .messages import Answer, Refusal
 
 WIRE_VERSION = 1
@@ -16,6 +17,8 @@
     kind.__name__: kind
     for kind in (
         loans.BorrowRequest,
+        fleet_messages.FleetAnswer,
+        fleet_messages.FleetQuestion,
         control.ForwardedCancellation,
         control.ForwardedRequest,
         members.Heartbeat,
@@ -31,6 +34,8 @@
         loans.ReserveQuery,
         loans.ShardReleased,
         members.SuspicionReport,
+        fleet_messages.TokenGrant,
+        fleet_messages.TokenRequest,
         control.VersionAnswer,
         control.VersionQuery,
     )
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -37,6 +37,10 @@
     ORDER_DROPPED = EventKind(
         107, "warning", "An order was not carried out; it may be given again."
     )
+    SETTINGS_RELOADED = EventKind(108, "info", "The settings file was read again.")
+    SETTINGS_REJECTED = EventKind(
+        109, "error", "The changed settings file has faults; the old settings stay."
+    )
     TASK_FAILED = EventKind(105, "error", "A task ended with an error.")
 
     # 2xx requests: placement, scheduling and transactions
@@ -45,6 +49,17 @@
     TRANSACTION_OPENED = EventKind(224, "debug", "A transaction holds a connection.")
     TRANSACTION_IDLE = EventKind(223, "info", "An idle transaction is rolled back.")
 
+    STATEMENT_REFUSED = EventKind(
+        231, "info", "A statement got an error, with the inputs that decided it."
+    )
+    STATEMENT_RETRIED = EventKind(
+        232, "info", "A read went to another database after a failed attempt."
+    )
+    SESSION_REFUSED = EventKind(233, "info", "A session was not opened.")
+    LINES_DROPPED = EventKind(
+        234, "warning", "Log lines above the rate limit were counted and dropped."
+    )
+
     # 3xx databases and failover
     PRIMARY_SUSPECTED = EventKind(
         301, "warning", "Detect: a group's primary is suspected, or there is none."
@@ -63,6 +78,22 @@
         308, "info", "A database that restarted empty has caught up and may vote again."
     )
 
+    CHANGE_STARTED = EventKind(
+        311, "warning", "A group gets another primary; the old one is no longer used."
+    )
+    CHANGE_COMPLETED = EventKind(312, "warning", "A group has another primary.")
+    CHANGE_ABANDONED = EventKind(
+        313, "warning", "A change of primary ended without a new one."
+    )
+    PROMOTION_ORDERED = EventKind(
+        314, "warning", "The platform was asked to promote a database."
+    )
+    PROMOTION_FAILED = EventKind(315, "warning", "The platform promoted nothing.")
+    RIGHT_LOST = EventKind(
+        316, "warning", "Primaries are not used: no evidence that they still are."
+    )
+    RIGHT_REGAINED = EventKind(317, "info", "Primaries are used again.")
+
     # 4xx rate limits
     SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
     SHARD_LOST = EventKind(402, "warning", "A shard's lease ended unplanned.")
@@ -104,6 +135,8 @@
         509, "warning", "The configuration has not been confirmed within the limit."
     )
 
+    DATABASES_CHANGED = EventKind(510, "info", "The list of databases has changed.")
+
     # 6xx membership and peers
     INSTANCE_SUSPECTED = EventKind(601, "warning", "An instance fell silent.")
     INSTANCE_HEARD = EventKind(602, "info", "An instance is heard from (again).")
@@ -117,6 +150,10 @@
         605, "info", "The socket to a silent peer was replaced."
     )
 
+    COORDINATORS_CHANGED = EventKind(
+        606, "info", "Other instances answer for the state of the fleet."
+    )
+
     # 8xx stand-ins
     STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
     STAND_IN_STOPPED = EventKind(802, "info", "A stand-in has stopped.")
--- /dev/null
+++ b/src/sardinemill/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What instances agree on: primaries, configuration, databases, rate limits."""
--- /dev/null
+++ b/src/sardinemill/fleet/promotion.py
@@ -0,0 +1,576 @@
+"""Filter that replaces primaries; acts only while this instance is a coordinator.
+
+A change goes through the fleet record: the group is marked as changing, which ends
+every right to its primary within ``RIGHT_SECONDS``. Only after that are the replicas
+asked for their positions and the one that received most is promoted. A coordinator
+that stops in between is followed by another one with a higher fencing token.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+from ..events import Event, EventName
+from ..interfaces import Emission
+from ..positions import ORIGIN, LogPosition
+from .evidence import RIGHT_MARGIN_SECONDS, RIGHT_SECONDS
+from .records import (
+    DatabaseContact,
+    DatabaseEntry,
+    Directory,
+    DirectoryChanged,
+    FleetRecord,
+    GroupPhase,
+    GroupRecord,
+    RecordConfirmed,
+)
+from .state import CoordinationChanged, GroupProposed
+
+TICK_SECONDS = 0.1
+# A primary that nobody reached for this time, while somebody tried, is replaced.
+# Shorter silences are mostly a dropped packet or a restart of the database.
+DEAD_SECONDS = 1.0
+# Time for the failures of other instances to arrive with their questions.
+FAILURE_MEMORY_SECONDS = 2.0
+# Coordinators further down the list wait longer, so that mostly one acts.
+RANK_DELAY_SECONDS = 0.7
+# A holder acts within this time of its write, or not at all.
+HOLD_SECONDS = 6.0
+# Another coordinator takes over after this time; longer than the holder may act.
+TAKEOVER_SECONDS = HOLD_SECONDS + 2.0
+# The holder itself tries again sooner.
+RETRY_SECONDS = 1.0
+# Replicas are asked again at this interval.
+MEASURE_SECONDS = 0.25
+# Answers of replicas are waited for this long before the best of them is chosen.
+MEASURE_WAIT_SECONDS = 0.6
+# A planned change waits this long for a replica to receive everything.
+CATCH_UP_SECONDS = 2.0
+PROBE_SECONDS = 0.3
+# A database that left the list is not replaced before its entry may be back.
+ABSENT_SECONDS = 2.5
+# The old primary is told to step down at this interval until it does.
+DEMOTE_SECONDS = 0.5
+DEMOTE_LIMIT_SECONDS = 10.0
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeDatabase:
+    """Check whether a database accepts a connection."""
+
+    database: DatabaseEntry
+
+
+@dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Ask a database for its role, term and position."""
+
+    database: DatabaseEntry
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDemotion:
+    """Tell a database of a lower term to become a replica."""
+
+    database: DatabaseEntry
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseStatus:
+    """Answer of a database, or the lack of one.
+
+    :param is_alive: it answered; the rest means nothing otherwise.
+    """
+
+    database: str
+    is_alive: bool
+    is_primary: bool = False
+    term: int = 0
+    received: LogPosition = ORIGIN
+
+
+@dataclass(frozen=True, slots=True)
+class OrderPromotion:
+    """Ask the platform to promote a database.
+
+    :param deadline: the call is given up then.
+    """
+
+    group: str
+    database: str
+    holder: str
+    fence: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class PromotionAnswered:
+    """What the platform said.
+
+    :param is_accepted: ``None`` when there was no answer.
+    """
+
+    order: OrderPromotion
+    is_accepted: bool | None
+    message: str = ""
+
+
+class Step(StrEnum):
+    """Step of a change at the holder."""
+
+    WAIT = "wait for rights to end"
+    MEASURE = "ask replicas for positions"
+    PROMOTE = "order the promotion"
+    CONFIRM = "wait for the new primary"
+    RECORD = "record the new primary"
+
+
+@dataclass(slots=True)
+class _Change:
+    """Change that this instance carries out.
+
+    :ivar began_at: before the write that marked the group.
+    :ivar is_fresh: no holder before this one may have ordered a promotion.
+    """
+
+    began_at: float
+    record: GroupRecord
+    fence: int
+    is_planned: bool
+    is_fresh: bool = True
+    step: Step = Step.WAIT
+    due_at: float = 0.0
+    measured_since: float = 0.0
+    statuses: dict[str, DatabaseStatus] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    target: str = ""
+    term: int = 0
+
+
+@dataclass(slots=True)
+class _Group:
+    """What is known about the primary of a group."""
+
+    suspected_since: float | None = None
+    probe_due_at: float = NEVER
+    proposed_at: float = NEVER
+    changing_since: float | None = None
+    changing_key: tuple[str, int, int] = ("", 0, 0)
+    absent_since: float | None = None
+
+
+class Promotion:
+    """Decides when a primary is replaced and by which database.
+
+    Outlets: ``proposals`` (:class:`GroupProposed`), ``databases`` (:class:`AskStatus`,
+    :class:`ProbeDatabase`, :class:`OrderDemotion`), ``platform``
+    (:class:`OrderPromotion`), ``events``.
+
+    :param instance: own name, the holder of what it changes.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._next_tick = 0.0
+        self._record = FleetRecord()
+        self._confirmed_at = NEVER
+        self._directory = Directory()
+        self._rank: int | None = None
+        self._may_change_at = 0.0
+        self._alive_at: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
+        self._groups: dict[str, _Group] = {}
+        self._changes: dict[str, _Change] = {}
+        # Old primaries to step down: term, next order, end.
+        self._demotions: dict[str, tuple[int, float, float]] = {}
+
+    @property
+    def next_tick(self) -> float | None:
+        return self._next_tick
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, RecordConfirmed):
+            self._record = message.record
+            self._confirmed_at = message.confirmed_at
+        elif isinstance(message, DirectoryChanged):
+            self._directory = message.directory
+        elif isinstance(message, CoordinationChanged):
+            self._rank = message.rank
+            self._may_change_at = message.may_change_at
+        elif isinstance(message, DatabaseContact):
+            self._note_contact(message.database, message.is_alive, message.at)
+        elif isinstance(message, DatabaseStatus):
+            return self._take_status(message, now)
+        elif isinstance(message, PromotionAnswered):
+            return self._take_answer(message, now)
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        self._next_tick = now + TICK_SECONDS
+        if self._rank is None:
+            self._changes.clear()
+            self._groups.clear()
+            return ()
+        emissions: list[Emission] = []
+        for name in sorted({item.group for item in self._directory.databases}):
+            emissions += self._watch_group(name, now)
+        for name in list(self._changes):
+            emissions += self._advance(name, now)
+        return emissions + self._order_demotions(now)
+
+    # Whether a change is needed
+
+    def _note_contact(self, database: str, is_alive: bool, at: float) -> None:
+        times = self._alive_at if is_alive else self._failed_at
+        times[database] = max(times.get(database, NEVER), at)
+
+    def _watch_group(self, name: str, now: float) -> list[Emission]:
+        state = self._groups.setdefault(name, _Group())
+        record = self._record.find_group(name)
+        if record is None or not record.primary:
+            return self._introduce(name, record, state, now)
+        if record.phase is GroupPhase.CHANGING:
+            return self._watch_change(record, state, now)
+        state.changing_since = None
+        if name in self._changes and self._changes[name].step is Step.RECORD:
+            return [self._tell_completed(self._changes.pop(name), record, now)]
+        emissions: list[Emission] = []
+        reason = self._find_reason(record, state, now)
+        if reason is None:
+            state.suspected_since = None
+            return emissions
+        if state.suspected_since is None:
+            state.suspected_since = now
+        if reason == "unreachable":
+            emissions += self._probe(record.primary, state, now)
+        assert self._rank is not None
+        wait = self._rank * RANK_DELAY_SECONDS
+        wait += DEAD_SECONDS if reason == "unreachable" else 0.0
+        silent_since = state.suspected_since
+        if reason == "unreachable":
+            silent_since = self._alive_at.get(record.primary, silent_since)
+        if now - silent_since >= wait and self._has_replica(record):
+            emissions += self._propose_change(record, state, reason, now)
+        return emissions
+
+    def _introduce(
+        self, name: str, record: GroupRecord | None, state: _Group, now: float
+    ) -> list[Emission]:
+        """Record the primary that the databases themselves name."""
+        named = [item for item in self._directory.list_group(name) if item.is_primary]
+        if len(named) != 1 or now - state.proposed_at < 1.0:
+            return []
+        state.proposed_at = now
+        group = GroupRecord(
+            group=name, primary=named[0].name, primary_born_ms=named[0].born_ms
+        )
+        return [Emission("proposals", GroupProposed(group, record))]
+
+    def _find_reason(
+        self, record: GroupRecord, state: _Group, now: float
+    ) -> str | None:
+        entry = self._directory.find(record.primary)
+        alive_at = self._alive_at.get(record.primary, NEVER)
+        failed_at = self._failed_at.get(record.primary, NEVER)
+        if entry is None:
+            if state.absent_since is None:
+                state.absent_since = now
+            if (
+                now - state.absent_since > ABSENT_SECONDS
+                and now - alive_at > DEAD_SECONDS
+            ):
+                return "absent"
+        else:
+            state.absent_since = None
+            if entry.is_leaving:
+                return "leaving"
+            if record.primary_born_ms and entry.born_ms != record.primary_born_ms:
+                return "restarted empty"
+        is_failing = failed_at > alive_at and now - failed_at < FAILURE_MEMORY_SECONDS
+        return "unreachable" if is_failing else None
+
+    def _has_replica(self, record: GroupRecord) -> bool:
+        return any(self._list_targets(record.group, record.primary))
+
+    def _list_targets(self, group: str, primary: str) -> list[DatabaseEntry]:
+        return [
+            item
+            for item in self._directory.list_group(group)
+            if item.name != primary and not item.is_leaving
+        ]
+
+    def _probe(self, database: str, state: _Group, now: float) -> list[Emission]:
+        entry = self._directory.find(database)
+        if entry is None or now < state.probe_due_at:
+            return []
+        state.probe_due_at = now + PROBE_SECONDS
+        return [Emission("databases", ProbeDatabase(entry))]
+
+    def _propose_change(
+        self, record: GroupRecord, state: _Group, reason: str, now: float
+    ) -> list[Emission]:
+        if now < self._may_change_at or now - state.proposed_at < 1.0:
+            return []
+        state.proposed_at = now
+        marked = replace(record, phase=GroupPhase.CHANGING)
+        self._changes[record.group] = _Change(
+            began_at=now,
+            record=marked,
+            fence=0,
+            is_planned=reason == "leaving",
+        )
+        fields = {
+            "group": record.group,
+            "primary": record.primary,
+            "reason": reason,
+            "rank": self._rank,
+            "silent_seconds": round(
+                min(now - self._alive_at.get(record.primary, NEVER), 999.0), 3
+            ),
+        }
+        return [
+            Emission("proposals", GroupProposed(marked, record, takes_fence=True)),
+            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
+        ]
+
+    def _watch_change(
+        self, record: GroupRecord, state: _Group, now: float
+    ) -> list[Emission]:
+        """Take over a change whose holder has not ended it in time."""
+        key = (self._record.holder, self._record.fence, record.attempt)
+        if state.changing_since is None or state.changing_key != key:
+            state.changing_since = now
+            state.changing_key = key
+        if record.group in self._changes or now < self._may_change_at:
+            return []
+        assert self._rank is not None
+        wait = TAKEOVER_SECONDS + self._rank * RANK_DELAY_SECONDS
+        if self._record.holder == self._instance:
+            wait = RETRY_SECONDS
+        if now - state.changing_since < wait or now - state.proposed_at < 1.0:
+            return []
+        state.proposed_at = now
+        again = replace(record, attempt=record.attempt + 1)
+        self._changes[record.group] = _Change(
+            began_at=now, record=again, fence=0, is_planned=False, is_fresh=False
+        )
+        fields = {
+            "group": record.group,
+            "primary": record.primary,
+            "reason": f"{self._record.holder} did not finish",
+            "rank": self._rank,
+        }
+        return [
+            Emission("proposals", GroupProposed(again, record, takes_fence=True)),
+            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
+        ]
+
+    # Steps of a change
+
+    def _advance(self, name: str, now: float) -> list[Emission]:
+        change = self._changes[name]
+        # Recording what the databases say is safe at any time, ordering is not.
+        is_ordered = change.step in (Step.CONFIRM, Step.RECORD)
+        limit = 2 * HOLD_SECONDS if is_ordered else HOLD_SECONDS
+        if now - change.began_at > limit:
+            return self._abandon(name, "out of time")
+        if change.step is Step.WAIT:
+            return self._wait_for_rights(name, change, now)
+        if change.step is Step.MEASURE:
+            return self._measure(name, change, now)
+        if change.step is Step.CONFIRM and now >= change.due_at:
+            change.due_at = now + MEASURE_SECONDS
+            entry = self._directory.find(change.target)
+            return [] if entry is None else [Emission("databases", AskStatus(entry))]
+        if change.step is Step.RECORD and now >= change.due_at:
+            change.due_at = now + 0.5
+            return [Emission("proposals", self._make_new_record(change))]
+        return []
+
+    def _wait_for_rights(
+        self, name: str, change: _Change, now: float
+    ) -> list[Emission]:
+        if change.fence == 0:
+            current = self._record.find_group(name)
+            if current == change.record and self._record.holder == self._instance:
+                # The write has taken effect: later evidence shows it.
+                change.fence = self._record.fence
+                change.due_at = now + RIGHT_SECONDS + RIGHT_MARGIN_SECONDS
+            elif now - change.began_at > HOLD_SECONDS / 3:
+                del self._changes[name]
+            return []
+        if now < change.due_at:
+            return []
+        change.step = Step.MEASURE
+        change.measured_since = now
+        change.due_at = now
+        return self._measure(name, change, now)
+
+    def _measure(self, name: str, change: _Change, now: float) -> list[Emission]:
+        targets = [
+            item
+            for item in self._list_targets(name, change.record.primary)
+            if item.name not in change.refused
+        ]
+        old = self._directory.find(change.record.primary)
+        waited = now - change.measured_since
+        returned = change.statuses.get(change.record.primary)
+        may_revert = change.is_fresh and not change.is_planned and old is not None
+        if may_revert and returned is not None and returned.is_primary:
+            return self._revert(name, change, now)
+        best = self._choose_target(targets, change)
+        is_complete = all(item.name in change.statuses for item in targets)
+        if best is not None and (is_complete or waited > MEASURE_WAIT_SECONDS):
+            behind = self._find_missing(change, best)
+            if not behind or waited > CATCH_UP_SECONDS:
+                return self._order(name, change, best.database, now)
+        if now < change.due_at:
+            return []
+        change.due_at = now + MEASURE_SECONDS
+        asked = targets if old is None else [*targets, old]
+        return [Emission("databases", AskStatus(item)) for item in asked]
+
+    def _revert(self, name: str, change: _Change, now: float) -> list[Emission]:
+        """Keep a primary that answers again before anything was ordered."""
+        change.step = Step.RECORD
+        change.target = change.record.primary
+        change.due_at = now + 0.5
+        fields = {"group": name, "reason": "the primary answers again"}
+        return [
+            Emission("proposals", self._make_new_record(change)),
+            Emission("events", Event(EventName.CHANGE_ABANDONED, fields)),
+        ]
+
+    def _choose_target(
+        self, targets: Sequence[DatabaseEntry], change: _Change
+    ) -> DatabaseStatus | None:
+        names = {item.name for item in targets}
+        found = [
+            item
+            for item in change.statuses.values()
+            if item.is_alive and item.database in names
+        ]
+        return max(
+            found,
+            key=lambda item: (item.is_primary, item.received, item.database),
+            default=None,
+        )
+
+    def _find_missing(self, change: _Change, best: DatabaseStatus) -> bool:
+        """Tell whether the old primary holds more than the best replica."""
+        old = change.statuses.get(change.record.primary)
+        return (
+            change.is_planned
+            and (old is None or old.is_alive)
+            and (old is None or old.received > best.received)
+        )
+
+    def _order(
+        self, name: str, change: _Change, target: str, now: float
+    ) -> list[Emission]:
+        change.step = Step.PROMOTE
+        change.target = target
+        change.term = max(
+            [item.term for item in change.statuses.values()]
+            + [item.received.term for item in change.statuses.values()]
+            + [0]
+        )
+        order = OrderPromotion(
+            name,
+            target,
+            self._instance,
+            change.fence,
+            change.began_at + HOLD_SECONDS,
+        )
+        status = change.statuses[target]
+        fields = {
+            "group": name,
+            "database": target,
+            "fence": change.fence,
+            "received": f"{status.received.term}.{status.received.offset}",
+            "n_statuses": sum(item.is_alive for item in change.statuses.values()),
+            "seconds": round(now - change.began_at, 3),
+        }
+        return [
+            Emission("platform", order),
+            Emission("events", Event(EventName.PROMOTION_ORDERED, fields)),
+        ]
+
+    def _take_answer(self, answer: PromotionAnswered, now: float) -> list[Emission]:
+        change = self._changes.get(answer.order.group)
+        if change is None or change.step is not Step.PROMOTE:
+            return []
+        if answer.is_accepted:
+            change.step = Step.CONFIRM
+            change.due_at = now + MEASURE_SECONDS
+            return []
+        fields = {
+            "group": answer.order.group,
+            "database": answer.order.database,
+            "reason": answer.message,
+        }
+        if answer.is_accepted is False:
+            change.refused.add(answer.order.database)
+            change.statuses.pop(answer.order.database, None)
+        change.step = Step.MEASURE
+        change.measured_since = now
+        change.due_at = now
+        return [Emission("events", Event(EventName.PROMOTION_FAILED, fields))]
+
+    def _take_status(self, status: DatabaseStatus, now: float) -> list[Emission]:
+        self._note_contact(status.database, status.is_alive, now)
+        for change in self._changes.values():
+            if change.step is Step.MEASURE:
+                change.statuses[status.database] = status
+            is_target = status.database == change.target and status.is_alive
+            if change.step is Step.CONFIRM and is_target and status.is_primary:
+                change.step = Step.RECORD
+                change.term = max(change.term, status.term)
+                change.due_at = now + 0.5
+                return [Emission("proposals", self._make_new_record(change))]
+        if status.is_alive and not status.is_primary:
+            self._demotions.pop(status.database, None)
+        return []
+
+    def _make_new_record(self, change: _Change) -> GroupProposed:
+        entry = self._directory.find(change.target)
+        new = GroupRecord(
+            group=change.record.group,
+            primary=change.target,
+            primary_born_ms=0 if entry is None else entry.born_ms,
+            term=max(change.term, change.record.term),
+        )
+        old = change.record.primary
+        if old != change.target:
+            limit = change.began_at + DEMOTE_LIMIT_SECONDS
+            self._demotions[old] = (change.term, NEVER, limit)
+        return GroupProposed(new, change.record)
+
+    def _tell_completed(
+        self, change: _Change, record: GroupRecord, now: float
+    ) -> Emission:
+        fields = {
+            "group": record.group,
+            "primary": record.primary,
+            "term": record.term,
+            "seconds": round(now - change.began_at, 3),
+        }
+        return Emission("events", Event(EventName.CHANGE_COMPLETED, fields))
+
+    def _abandon(self, name: str, reason: str) -> list[Emission]:
+        change = self._changes.pop(name)
+        fields = {"group": name, "step": change.step.value, "reason": reason}
+        return [Emission("events", Event(EventName.CHANGE_ABANDONED, fields))]
+
+    def _order_demotions(self, now: float) -> list[Emission]:
+        emissions = []
+        for name, (term, due_at, limit) in list(self._demotions.items()):
+            entry = self._directory.find(name)
+            if now > limit or (entry is not None and not entry.is_primary):
+                del self._demotions[name]
+            elif entry is not None and now >= due_at:
+                self._demotions[name] = (term, now + DEMOTE_SECONDS, limit)
+                emissions.append(Emission("databases", OrderDemotion(entry, term)))
+        return emissions
--- /dev/null
+++ b/src/sardinemill/fleet/records.py
@@ -0,0 +1,162 @@
+"""Values that instances agree on through the platform's store."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..groups import Address
+from ..positions import LogPosition
+
+
+class GroupPhase(StrEnum):
+    """Whether the primary of a group may be used."""
+
+    STEADY = "steady"
+    CHANGING = "changing"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Coordinator:
+    """Instance that answers the others and may change primaries.
+
+    :param incarnation: process; a restarted one has to join again, since it no longer
+        knows which writes of its predecessor are still on their way.
+    """
+
+    name: str
+    data_centre: str
+    host: str
+    port: int
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupRecord:
+    """Primary of one database group.
+
+    :param primary: identifier of the database, ``""`` if unknown.
+    :param primary_born_ms: start of the database process that was primary.
+    :param term: lowest log term of this primary that is known.
+    :param attempt: counts the holders that took over an unfinished change.
+    """
+
+    group: str
+    primary: str
+    primary_born_ms: int = 0
+    term: int = 0
+    phase: GroupPhase = GroupPhase.STEADY
+    attempt: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetRecord:
+    """The one object in the store that decides who may use which primary.
+
+    :param holder: instance that changed a primary last.
+    :param fence: fencing token of the holder; grows with each change of holder.
+    """
+
+    coordinators: tuple[Coordinator, ...] = ()
+    groups: tuple[GroupRecord, ...] = ()
+    holder: str = ""
+    fence: int = 0
+
+    def find_group(self, group: str) -> GroupRecord | None:
+        """Record of a group, ``None`` if it has none yet."""
+        for item in self.groups:
+            if item.group == group:
+                return item
+        return None
+
+    def find_coordinator(self, name: str) -> Coordinator | None:
+        """Entry of an instance, ``None`` if it is no coordinator."""
+        for item in self.coordinators:
+            if item.name == name:
+                return item
+        return None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DatabaseEntry:
+    """One database as it describes itself.
+
+    :param born_ms: start of the process, Unix time in milliseconds; another value
+        under the same name means that the database lost what it held.
+    :param is_leaving: takes no new work.
+    :param is_primary: in its own view, which may be out of date.
+    """
+
+    name: str
+    group: str
+    data_centre: str
+    host: str
+    port: int
+    n_slots: int = 1
+    born_ms: int = 0
+    is_leaving: bool = False
+    is_primary: bool = False
+
+    @property
+    def address(self) -> Address:
+        """TCP endpoint."""
+        return Address(self.host, self.port)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Directory:
+    """Databases that are there."""
+
+    databases: tuple[DatabaseEntry, ...] = ()
+
+    def find(self, name: str) -> DatabaseEntry | None:
+        """Entry of a database, ``None`` if it is not there."""
+        for item in self.databases:
+            if item.name == name:
+                return item
+        return None
+
+    def list_group(self, group: str) -> tuple[DatabaseEntry, ...]:
+        """Databases of a group."""
+        return tuple(item for item in self.databases if item.group == group)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordConfirmed:
+    """The record was in force at a point in time.
+
+    :param confirmed_at: on the local clock; no later write existed then.
+    """
+
+    record: FleetRecord
+    revision: int
+    confirmed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryChanged:
+    """The list of databases differs from the one before."""
+
+    directory: Directory
+
+
+@dataclass(frozen=True, slots=True)
+class PositionSeen:
+    """A primary in use was at a position.
+
+    :param seen_at: on the local clock; every commit acknowledged before is included.
+    """
+
+    group: str
+    position: LogPosition
+    seen_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseContact:
+    """Outcome of the last use of a database.
+
+    :param is_alive: it answered.
+    """
+
+    database: str
+    is_alive: bool
+    at: float
--- /dev/null
+++ b/src/sardinemill/fleet/store_messages.py
@@ -0,0 +1,100 @@
+"""Frozen messages between the decisions and the task that calls the store."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..sessions.routes import Configuration
+from .records import Directory, FleetRecord
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the fleet record."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadDirectory:
+    """List the databases."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchConfiguration:
+    """Read the configuration once its version differs from the one given.
+
+    :param revision: store revision last seen, 0 to read at once.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Replace the fleet record if it is still at the revision.
+
+    :param revision: 0 to create it.
+    :param purpose: passed back with the outcome.
+    """
+
+    record: FleetRecord
+    revision: int
+    purpose: str
+
+
+StoreRequest = ReadRecord | ReadDirectory | WatchConfiguration | WriteRecord
+
+
+class StoreFault(StrEnum):
+    """Why a call gave nothing."""
+
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+    NO_ANSWER = "no answer"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRead:
+    """The record at some moment after ``asked_at``.
+
+    :param revision: 0 when it does not exist.
+    """
+
+    record: FleetRecord
+    revision: int
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryRead:
+    """The databases at some moment after ``asked_at``."""
+
+    directory: Directory
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """The configuration, ``None`` when it has not changed or cannot be decoded."""
+
+    configuration: Configuration | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """The record was replaced."""
+
+    record: FleetRecord
+    revision: int
+    purpose: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """A call gave nothing.
+
+    :param fault: after ``NO_ANSWER`` a write may still take effect.
+    """
+
+    request: StoreRequest
+    fault: StoreFault
+    message: str
--- /dev/null
+++ b/src/sardinemill/fleet/tokens.py
@@ -0,0 +1,135 @@
+"""Filter of a coordinator that lends tokens of the workspaces' rate limits.
+
+Each workspace has one lender, the first of the coordinators in a ranking that all
+instances share. The others lend a fraction, for instances that cannot reach the first.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..control import PeerEnvelope
+from ..groups import rank_candidates
+from ..interfaces import Emission
+from ..sessions.routes import EMPTY_TABLE, RoutesChanged, WorkspacePlan
+from .messages import TokenGrant, TokenRequest
+from .records import RecordConfirmed
+
+# The rest of the burst covers tokens that are lent and not yet spent, and what
+# instances without a lender admit on their own.
+BURST_FRACTION = 0.5
+# Part of the rate that a coordinator lends which is not the first of the ranking. Two
+# lenders during a partition must stay within the tolerance of the limit.
+DEPUTY_FRACTION = 0.2
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Tokens of one workspace at a lender; starts empty.
+
+    A lender cannot know what its predecessor lent, so it starts with what the rate
+    brings from then on.
+    """
+
+    rate: float
+    capacity: float
+    level: float
+    updated_at: float
+
+    def refill(self, now: float) -> None:
+        """Add what the rate brought since the last call."""
+        gained = max(0.0, now - self.updated_at) * self.rate
+        self.level = min(self.capacity, self.level + gained)
+        self.updated_at = now
+
+    def set_limits(self, rate: float, capacity: float, now: float) -> None:
+        """Change rate and capacity from now on."""
+        self.refill(now)
+        self.rate = rate
+        self.capacity = capacity
+        self.level = min(self.level, capacity)
+
+    def take(self, n_tokens: int, now: float) -> int:
+        """Take as many whole tokens as there are, up to ``n_tokens``."""
+        self.refill(now)
+        taken = max(0, min(n_tokens, math.floor(self.level)))
+        self.level -= taken
+        return taken
+
+    def find_wait(self) -> float:
+        """Seconds until the next token."""
+        if self.rate <= 0:
+            return 1.0
+        return max(0.0, (1.0 - self.level) / self.rate)
+
+
+class TokenLending:
+    """Answers requests for tokens. Outlets: ``peers``.
+
+    :param instance: own name.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._table = EMPTY_TABLE
+        self._coordinators: tuple[str, ...] = ()
+        self._buckets: dict[str, TokenBucket] = {}
+
+    @property
+    def next_tick(self) -> float | None:
+        return None
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, RoutesChanged):
+            self._table = message.table
+            self._update_buckets(now)
+        elif isinstance(message, RecordConfirmed):
+            names = tuple(item.name for item in message.record.coordinators)
+            if names != self._coordinators:
+                self._coordinators = names
+                self._update_buckets(now)
+        elif isinstance(message, PeerEnvelope) and isinstance(
+            message.message, TokenRequest
+        ):
+            return [self._lend(message.peer, message.message, now)]
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        return ()
+
+    def _lend(self, peer: str, request: TokenRequest, now: float) -> Emission:
+        plan = self._table.plans.get(request.workspace)
+        n_tokens, wait = 0, 1.0
+        if plan is not None and self._instance in self._coordinators:
+            bucket = self._buckets.get(request.workspace)
+            if bucket is None:
+                rate, capacity = self._find_limits(plan)
+                bucket = TokenBucket(rate, capacity, 0.0, now)
+                self._buckets[request.workspace] = bucket
+            n_tokens = bucket.take(request.n_tokens, now)
+            wait = bucket.find_wait()
+        grant = TokenGrant(
+            number=request.number,
+            workspace=request.workspace,
+            n_tokens=n_tokens,
+            retry_after_seconds=round(wait, 3),
+        )
+        return Emission("peers", PeerEnvelope(peer=peer, message=grant))
+
+    def _find_limits(self, plan: WorkspacePlan) -> tuple[float, float]:
+        """Rate and capacity of the bucket here."""
+        share = 1.0
+        ranked = rank_candidates(plan.name, self._coordinators)
+        if ranked and ranked[0] != self._instance:
+            share = DEPUTY_FRACTION
+        capacity = max(1.0, plan.burst * BURST_FRACTION * share)
+        return plan.operations_per_second * share, capacity
+
+    def _update_buckets(self, now: float) -> None:
+        for name, bucket in list(self._buckets.items()):
+            plan = self._table.plans.get(name)
+            if plan is None:
+                del self._buckets[name]
+                continue
+            rate, capacity = self._find_limits(plan)
+            bucket.set_limits(rate, capacity, now)
--- a/src/sardinemill/journal.py
+++ b/src/sardinemill/journal.py
@@ -5,12 +5,15 @@
 import time
 import uuid
 from collections.abc import Callable, Mapping
-from typing import TextIO
+from typing import TYPE_CHECKING, TextIO
 
 import structlog
 
 from .events import Event
-from .settings import Settings
+
+if TYPE_CHECKING:
+    # The command line's parser is not loaded by daemons that have none.
+    from .settings import Settings
 
 LEVELS = ("debug", "info", "warning", "error")
 # Names of fields that could carry a key or a caller's data; they are never written.
@@ -108,7 +111,7 @@
         return True
 
 
-def open_journal(settings: Settings) -> Journal:
+def open_journal(settings: "Settings") -> Journal:
     """Make the journal of an instance.
 
     :raises OSError: when the log file cannot be opened.
--- /dev/null
+++ b/src/sardinemill/platform/documents.py
@@ -0,0 +1,139 @@
+"""Decodes the objects that operators and databases write into the store."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from ..errors import ConfigurationError
+from ..fleet.records import DatabaseEntry, Directory
+from ..sessions.routes import Configuration, Consistency, Route, WorkspacePlan
+from .settings import parse_address
+
+# A route's `kind` says what its reads may miss.
+_CONSISTENCY = {
+    "primary": Consistency.PRIMARY,
+    "bounded": Consistency.BOUNDED_STALENESS,
+    "read_own_writes": Consistency.READ_YOUR_WRITES,
+}
+# Used when the document lacks the field.
+DEFAULT_TIMEOUT_MS = 1000
+DEFAULT_TRANSACTION_IDLE_MS = 3000
+
+
+def decode_configuration(document: object) -> Configuration:
+    """Decode the desired state.
+
+    :raises ConfigurationError: when it is not a desired state.
+    """
+    try:
+        return _decode_configuration(_take_map(document))
+    except (KeyError, TypeError, ValueError) as error:
+        raise ConfigurationError(
+            f"malformed: {type(error).__name__} {error}", step="decode configuration"
+        ) from error
+
+
+def _decode_configuration(document: Mapping[str, object]) -> Configuration:
+    limits = _take_map(document.get("limits") or {})
+    idle_ms = limits.get("transaction_idle_ms", DEFAULT_TRANSACTION_IDLE_MS)
+    return Configuration(
+        version=int(_take_number(document["version"])),
+        routes=tuple(_decode_route(item) for item in _take_maps(document["routes"])),
+        workspaces=tuple(
+            _decode_plan(item) for item in _take_maps(document.get("tenants") or [])
+        ),
+        transaction_idle_seconds=_take_number(idle_ms) / 1000,
+        max_connections=tuple(
+            (str(item["name"]), int(_take_number(item["max_connections"])))
+            for item in _take_maps(document.get("services") or [])
+            if "max_connections" in item
+        ),
+    )
+
+
+def _decode_route(item: Mapping[str, object]) -> Route:
+    return Route(
+        name=str(item["name"]),
+        # `host` is the database name of the client's opening message.
+        database=str(item["host"]),
+        group=str(item["service"]),
+        consistency=_CONSISTENCY[str(item["kind"])],
+        timeout_seconds=_take_number(item.get("timeout_ms", DEFAULT_TIMEOUT_MS)) / 1000,
+        staleness_seconds=_take_number(item.get("max_staleness_ms", 0)) / 1000,
+        priority=int(_take_number(item.get("priority", 1))),
+        is_open=item.get("allow_anonymous") is True,
+    )
+
+
+def _decode_plan(item: Mapping[str, object]) -> WorkspacePlan:
+    keys = item.get("api_keys") or []
+    if not isinstance(keys, Sequence) or isinstance(keys, str):
+        raise TypeError("api_keys")
+    return WorkspacePlan(
+        name=str(item["name"]),
+        keys=tuple(str(key) for key in keys),
+        operations_per_second=_take_number(item["requests_per_s"]),
+        burst=_take_number(item["burst"]),
+    )
+
+
+def decode_directory(objects: Iterable[tuple[str, object]]) -> Directory:
+    """Decode the databases' own entries.
+
+    Entries that another writer left malformed name no database.
+
+    :param objects: pairs of the object's name and its content.
+    """
+    entries = [_decode_database(name, content) for name, content in objects]
+    found = [item for item in entries if item is not None]
+    return Directory(databases=tuple(sorted(found, key=lambda item: item.name)))
+
+
+def _decode_database(name: str, content: object) -> DatabaseEntry | None:
+    if not isinstance(content, Mapping):
+        return None
+    address = parse_address(content.get("address"))
+    group, data_centre = content.get("service"), content.get("zone")
+    state, role = content.get("state"), content.get("database_role")
+    n_slots, born_ms = content.get("slots", 1), content.get("born", 0)
+    if (
+        address is None
+        or not isinstance(group, str)
+        or not isinstance(data_centre, str)
+        or state not in ("ready", "draining")
+        or role not in ("primary", "replica")
+        or not _is_integer(n_slots)
+        or not _is_integer(born_ms)
+    ):
+        return None
+    return DatabaseEntry(
+        name=name,
+        group=group,
+        data_centre=data_centre,
+        host=address.host,
+        port=address.port,
+        n_slots=n_slots,
+        born_ms=born_ms,
+        is_leaving=state == "draining",
+        is_primary=role == "primary",
+    )
+
+
+def _is_integer(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _take_map(value: object) -> Mapping[str, object]:
+    if not isinstance(value, Mapping):
+        raise TypeError("not an object")
+    return value
+
+
+def _take_maps(value: object) -> list[Mapping[str, object]]:
+    if not isinstance(value, Sequence) or isinstance(value, str):
+        raise TypeError("not a list")
+    return [_take_map(item) for item in value]
+
+
+def _take_number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError("not a number")
+    return value
--- /dev/null
+++ b/src/sardinemill/platform/promotion.py
@@ -0,0 +1,71 @@
+"""Calls the platform to promote a database."""
+
+import asyncio
+
+import aiohttp
+
+from ..fleet.promotion import OrderPromotion, PromotionAnswered
+from ..groups import Address
+from ..interfaces import Clock, Outlet
+
+CALL_TIMEOUT_SECONDS = 1.2
+
+
+class PromotionCalls:
+    """Makes the promotion calls; one answer for each order.
+
+    :param sink: receives :class:`PromotionAnswered`.
+    """
+
+    def __init__(self, address: Address, sink: Outlet, clock: Clock) -> None:
+        self._url = f"http://{address}/promotion"
+        self._sink = sink
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Nothing to acquire; calls are rare and open a session of their own."""
+
+    async def drain(self) -> None:
+        """Nothing to do."""
+
+    async def stop(self) -> None:
+        """Cancel calls in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def offer(self, message: object) -> bool:
+        """Accept an order."""
+        if isinstance(message, OrderPromotion):
+            task = asyncio.create_task(self._call(message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def _call(self, order: OrderPromotion) -> None:
+        seconds = min(CALL_TIMEOUT_SECONDS, order.deadline - self._clock.now())
+        if seconds <= 0:
+            answer = PromotionAnswered(order, None, "out of time")
+            self._sink.offer(answer)
+            return
+        headers = {
+            "X-Duty-Holder": order.holder,
+            "X-Fencing-Token": str(order.fence),
+        }
+        body = {"service": order.group, "id": order.database}
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(self._url, json=body, headers=headers) as response,
+            ):
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            answer = PromotionAnswered(order, None, type(error).__name__)
+        else:
+            is_accepted = True if status == 200 else None
+            # The database does not run, or another reason not to promote it.
+            is_accepted = False if status == 409 else is_accepted
+            answer = PromotionAnswered(order, is_accepted, f"status {status}")
+        self._sink.offer(answer)
--- /dev/null
+++ b/src/sardinemill/platform/store.py
@@ -0,0 +1,283 @@
+"""Client of the platform's object store, and the task that calls it."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from ..errors import ConfigurationError, StoreConflict, StoreError, StoreUnavailable
+from ..events import Event, EventName
+from ..fleet.records import FleetRecord
+from ..fleet.store_messages import (
+    ConfigurationRead,
+    DirectoryRead,
+    ReadDirectory,
+    ReadRecord,
+    RecordRead,
+    RecordWritten,
+    StoreFailed,
+    StoreFault,
+    StoreRequest,
+    WatchConfiguration,
+    WriteRecord,
+)
+from ..groups import Address
+from ..interfaces import Clock, Outlet
+from .documents import decode_configuration, decode_directory
+from .sockets import keep_alive
+
+# A slow store takes about a quarter of a second for an answer.
+CALL_TIMEOUT_SECONDS = 1.5
+CONNECT_TIMEOUT_SECONDS = 0.7
+# Below the store's limit of 30 s; each return costs one call.
+WATCH_SECONDS = 20.0
+# Time beyond the wait of a watch after which its connection counts as silent.
+WATCH_GRACE_SECONDS = 2.0
+
+RECORD_KIND = "sardinemill-fleet"
+RECORD_NAME = "main"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+DATABASE_KIND = "servers"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformObject:
+    """Object of the store.
+
+    :param revision: of its last change, 0 when it does not exist.
+    :param content: decoded ``spec``.
+    """
+
+    name: str
+    revision: int
+    content: object
+
+
+class PlatformStore:
+    """Calls of the store over HTTP; owns the client session."""
+
+    def __init__(self, address: Address) -> None:
+        self._base = f"http://{address}/sardinemill/objects/"
+        self._peer = str(address)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the client session."""
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=30, socket_factory=keep_alive
+        )
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    async def drain(self) -> None:
+        """Nothing to do: callers finish their calls."""
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, kind: str, name: str) -> PlatformObject:
+        """Read one object; revision 0 when it does not exist."""
+        answer = await self._call("GET", f"{kind}/{name}")
+        return _make_object(answer) if answer else PlatformObject(name, 0, None)
+
+    async def put(self, kind: str, name: str, content: object, revision: int) -> int:
+        """Create an object (revision 0) or replace it at a revision.
+
+        :returns: the new revision.
+        :raises StoreConflict: when it is at another revision.
+        """
+        meta = {"name": name, "finalizers": []}
+        if revision:
+            body = {"meta": {**meta, "revision": revision}, "spec": content}
+            answer = await self._call("PUT", f"{kind}/{name}", body)
+            if not answer:
+                raise StoreConflict("the object is gone", step="put", peer=self._peer)
+        else:
+            answer = await self._call("POST", kind, {"meta": meta, "spec": content})
+        return _make_object(answer).revision
+
+    async def list(self, kind: str) -> list[PlatformObject]:
+        """Read all objects of a kind; malformed items are left out."""
+        found: list[PlatformObject] = []
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            answer = await self._call("GET", kind, query=query)
+            items = answer.get("items")
+            page = [
+                _make_object(item)
+                for item in (items if isinstance(items, list) else [])
+                if isinstance(item, Mapping)
+            ]
+            found.extend(page)
+            if not answer.get("more") or not page:
+                return found
+            after = page[-1].name
+
+    async def watch(self, kind: str, revision: int) -> int:
+        """Wait for a change of a kind after a revision.
+
+        :returns: the revision to continue from.
+        :raises StoreUnavailable: also when the history of that revision is gone.
+        """
+        query = {"watch": str(revision), "wait_ms": str(int(WATCH_SECONDS * 1000))}
+        timeout = WATCH_SECONDS + WATCH_GRACE_SECONDS
+        answer = await self._call("GET", kind, query=query, timeout_seconds=timeout)
+        return _take_revision(answer.get("store_revision"))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        query: Mapping[str, str] | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Mapping[str, object]:
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        try:
+            async with self._session.request(
+                method, self._base + path, json=body, params=query, timeout=timeout
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreUnavailable(
+                type(error).__name__, step=method, peer=self._peer
+            ) from error
+        if status == 404:
+            return {}
+        if status == 409:
+            raise StoreConflict("another revision", step=method, peer=self._peer)
+        if status not in (200, 201):
+            raise StoreRejected(f"status {status}", step=method, peer=self._peer)
+        return _decode_body(data, method, self._peer)
+
+
+class StoreRejected(StoreError):
+    """The store answered that it did nothing."""
+
+    code = "store rejected"
+
+
+def _decode_body(data: bytes, step: str, peer: str) -> Mapping[str, object]:
+    # Other writers may leave bytes that are no text in an object.
+    try:
+        answer = json.loads(data.decode(errors="replace")) if data else {}
+    except ValueError as error:
+        raise StoreUnavailable("malformed answer", step=step, peer=peer) from error
+    return answer if isinstance(answer, Mapping) else {}
+
+
+def _make_object(item: Mapping[str, object]) -> PlatformObject:
+    meta = item.get("meta")
+    meta = meta if isinstance(meta, Mapping) else {}
+    return PlatformObject(
+        str(meta.get("name", "")),
+        _take_revision(meta.get("revision")),
+        item.get("spec"),
+    )
+
+
+def _take_revision(value: object) -> int:
+    return value if isinstance(value, int) and not isinstance(value, bool) else 0
+
+
+class StoreTask:
+    """Makes the calls that the decisions ask for; one outcome for each.
+
+    :param sink: receives the outcomes.
+    """
+
+    def __init__(
+        self, store: PlatformStore, sink: Outlet, clock: Clock, events: Outlet
+    ) -> None:
+        self._store = store
+        self._sink = sink
+        self._clock = clock
+        self._events = events
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Nothing to acquire."""
+
+    async def drain(self) -> None:
+        """Nothing to do: coordinators answer until the stop."""
+
+    async def stop(self) -> None:
+        """Cancel the calls in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def offer(self, message: object) -> bool:
+        """Accept a request to the store."""
+        if isinstance(message, StoreRequest):
+            task = asyncio.create_task(self._serve(message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def _serve(self, request: StoreRequest) -> None:
+        try:
+            outcome = await self._make_call(request)
+        except StoreConflict as error:
+            outcome = StoreFailed(request, StoreFault.CONFLICT, error.message)
+        except StoreRejected as error:
+            outcome = StoreFailed(request, StoreFault.REJECTED, error.message)
+        except StoreError as error:
+            outcome = StoreFailed(request, StoreFault.NO_ANSWER, error.message)
+        self._sink.offer(outcome)
+
+    async def _make_call(self, request: StoreRequest) -> object:
+        asked_at = self._clock.now()
+        if isinstance(request, ReadRecord):
+            found = await self._store.get(RECORD_KIND, RECORD_NAME)
+            return RecordRead(_decode_record(found), found.revision, asked_at)
+        if isinstance(request, ReadDirectory):
+            objects = await self._store.list(DATABASE_KIND)
+            pairs = [(item.name, item.content) for item in objects]
+            return DirectoryRead(decode_directory(pairs), asked_at)
+        if isinstance(request, WriteRecord):
+            content = msgspec.to_builtins(request.record)
+            revision = await self._store.put(
+                RECORD_KIND, RECORD_NAME, content, request.revision
+            )
+            return RecordWritten(request.record, revision, request.purpose)
+        return await self._watch_configuration(request)
+
+    async def _watch_configuration(
+        self, request: WatchConfiguration
+    ) -> ConfigurationRead:
+        revision = request.revision
+        if revision:
+            revision = await self._store.watch(CONFIGURATION_KIND, revision)
+        found = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        if not found.revision:
+            return ConfigurationRead(None, 0)
+        try:
+            configuration = decode_configuration(found.content)
+        except ConfigurationError as error:
+            fields = {"reason": error.message, "revision": found.revision}
+            self._events.offer(Event(EventName.CONFIGURATION_REJECTED, fields))
+            return ConfigurationRead(None, found.revision)
+        return ConfigurationRead(configuration, max(revision, found.revision))
+
+
+def _decode_record(found: PlatformObject) -> FleetRecord:
+    if not found.revision:
+        return FleetRecord()
+    try:
+        return msgspec.convert(found.content, FleetRecord)
+    except msgspec.ValidationError as error:
+        raise StoreError(
+            f"the fleet record is malformed: {error}", step="decode record"
+        ) from error
--- /dev/null
+++ b/src/sardinemill/serving.py
@@ -0,0 +1,202 @@
+"""Composition root of an instance that serves sessions with the fleet's filters."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from .application import Application, Part, TaskPart
+from .edges import PeerLinkPart
+from .events import Event, EventName
+from .fleet.messages import FleetAnswer, FleetQuestion, TokenGrant, TokenRequest
+from .fleet.promotion import Promotion
+from .fleet.state import FleetKnown, FleetState, Identity
+from .fleet.tokens import TokenLending
+from .interfaces import Clock, Emission, Filter, Outlet, RandomSource
+from .outlets import EnvelopeRouter, FanOut
+from .pipeline import Stage
+from .sessions.admission import Admission
+from .sessions.conversations import Conversations
+from .sessions.messages import DrainStarted
+from .sessions.placement import Placement
+
+# Part of the time to stop in which open transactions may end by themselves.
+TRANSACTION_FRACTION = 0.5
+# Part of the time to stop after which sessions that are still busy are cut.
+LAST_FRACTION = 0.8
+# The balancer stops sending new sessions after two probes, one a second.
+BALANCER_SECONDS = 2.2
+DRAIN_CHECK_SECONDS = 0.1
+
+
+class OutletPart(Outlet, Part, Protocol):
+    """Adapter with a life cycle that takes messages."""
+
+
+class ListenerPart(OutletPart, Protocol):
+    """Listener for clients."""
+
+    @property
+    def n_busy(self) -> int: ...
+
+    @property
+    def n_sessions(self) -> int: ...
+
+    async def close_idle(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServingEdges:
+    """Adapters of one instance; each is made with the outlet it reports to.
+
+    :param make_upstreams: takes the outlet for sessions and the one for control.
+    :param parts: adapters with a life cycle, started before everything else.
+    """
+
+    clock: Clock
+    random_source: RandomSource
+    events: Outlet
+    make_store: Callable[[Outlet], OutletPart]
+    make_peer_link: Callable[[Outlet], PeerLinkPart]
+    make_listener: Callable[[Outlet], ListenerPart]
+    make_upstreams: Callable[[Outlet, Outlet], OutletPart]
+    make_promotion_calls: Callable[[Outlet], OutletPart]
+    parts: tuple[Part, ...] = ()
+
+
+class Readiness:
+    """Whether the balancer should send new sessions here."""
+
+    def __init__(self) -> None:
+        self._is_known = False
+        self._is_leaving = False
+
+    def offer(self, message: object) -> bool:
+        """Take :class:`FleetKnown` and :class:`DrainStarted`."""
+        if isinstance(message, FleetKnown):
+            self._is_known = True
+        elif isinstance(message, DrainStarted):
+            self._is_leaving = True
+        return True
+
+    @property
+    def is_ready(self) -> bool:
+        """The instance knows what it needs and is not leaving."""
+        return self._is_known and not self._is_leaving
+
+
+class GracefulStop:
+    """Part whose drain ends the sessions within the time to stop.
+
+    :param announce: receives :class:`DrainStarted`.
+    """
+
+    def __init__(
+        self, listener: ListenerPart, announce: Outlet, clock: Clock, seconds: float
+    ) -> None:
+        self._listener = listener
+        self._announce = announce
+        self._clock = clock
+        self.seconds = seconds
+
+    async def start(self) -> None:
+        """Nothing to acquire."""
+
+    async def drain(self) -> None:
+        """Let requests and transactions end, then close sessions that are idle."""
+        began_at = self._clock.now()
+        transactions_end_at = began_at + self.seconds * TRANSACTION_FRACTION
+        self._announce.offer(DrainStarted(transactions_end_at))
+        await self._clock.sleep(min(BALANCER_SECONDS, self.seconds / 2))
+        last = began_at + self.seconds * LAST_FRACTION
+        while self._clock.now() < last:
+            await self._listener.close_idle()
+            if self._listener.n_sessions == 0:
+                return
+            await self._clock.sleep(DRAIN_CHECK_SECONDS)
+
+    async def stop(self) -> None:
+        """Nothing to release."""
+
+
+class ServingInstance:
+    """All filters and adapters of one instance.
+
+    :param stop_seconds: time from the order to stop until the process is killed.
+    """
+
+    def __init__(
+        self, identity: Identity, edges: ServingEdges, *, stop_seconds: float
+    ) -> None:
+        self._clock = edges.clock
+        self._events = edges.events
+        state = self._make_stage("state", FleetState(identity, edges.random_source))
+        promotion = self._make_stage("promotion", Promotion(identity.name))
+        lending = self._make_stage("lending", TokenLending(identity.name))
+        conversations = self._make_stage("conversations", Conversations())
+        admission = self._make_stage("admission", Admission())
+        placement = self._make_stage("placement", Placement(identity.data_centre))
+        self.readiness = Readiness()
+        store = edges.make_store(state)
+        peers = edges.make_peer_link(
+            EnvelopeRouter(
+                {
+                    FleetQuestion: state,
+                    FleetAnswer: state,
+                    TokenRequest: lending,
+                    TokenGrant: admission,
+                }
+            )
+        )
+        listener = edges.make_listener(conversations)
+        upstreams = edges.make_upstreams(placement, promotion)
+        promotion_calls = edges.make_promotion_calls(promotion)
+        state.bind(
+            {
+                "store": store,
+                "peers": peers,
+                "links": peers,
+                "routes": FanOut([conversations, admission, lending]),
+                "directory": FanOut([placement, promotion]),
+                "record": FanOut([placement, promotion, lending]),
+                "positions": placement,
+                "contacts": promotion,
+                "coordination": promotion,
+                "coordinators": admission,
+                "known": self.readiness,
+            }
+        )
+        promotion.bind(
+            {"proposals": state, "databases": upstreams, "platform": promotion_calls}
+        )
+        lending.bind({"peers": peers})
+        conversations.bind(
+            {"next": admission, "client": listener, "abandoned": placement}
+        )
+        admission.bind({"next": placement, "result": conversations, "peers": peers})
+        placement.bind(
+            {"connections": upstreams, "result": conversations, "seen": state}
+        )
+        stages = (state, promotion, lending, conversations, admission, placement)
+        for stage in stages:
+            stage.bind({"events": edges.events})
+        announce = FanOut([self.readiness, state, conversations])
+        self.stop = GracefulStop(listener, announce, edges.clock, stop_seconds)
+        self.application = Application(
+            [
+                self.stop,
+                *edges.parts,
+                store,
+                peers,
+                upstreams,
+                promotion_calls,
+                *(TaskPart(stage.name, stage) for stage in stages),
+                listener,
+            ]
+        )
+
+    def _make_stage(self, name: str, step: Filter) -> Stage:
+        return Stage(name, step, self._clock, on_unbound=self._report_unbound)
+
+    def _report_unbound(self, emission: Emission) -> None:
+        fields = {"outlet": emission.outlet, "kind": type(emission.message).__name__}
+        self._events.offer(Event(EventName.OUTLET_UNBOUND, fields))
--- /dev/null
+++ b/src/sardinemill/sessions/admission.py
@@ -0,0 +1,204 @@
+"""Filter that admits operations within the rate limit of their workspace."""
+
+import math
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ..control import PeerEnvelope
+from ..fleet.messages import TokenGrant, TokenRequest
+from ..fleet.state import CoordinatorsHeard
+from ..groups import rank_candidates
+from ..interfaces import Emission
+from .messages import ErrorCode, StatementRequest, StatementResult
+from .routes import EMPTY_TABLE, RoutesChanged, WorkspacePlan
+
+# Tokens that are not spent by then are gone, so that they do not pile up into a burst.
+TOKEN_LIFETIME_SECONDS = 1.0
+# Tokens for this much of the recent rate are asked for ahead of need.
+PREFETCH_SECONDS = 0.5
+MAX_PREFETCH = 16
+# A lender answers within a few milliseconds; after this time it counts as lost.
+GRANT_SECONDS = 0.25
+RATE_WINDOW_SECONDS = 2.0
+# Operations of one workspace that may wait for tokens.
+MAX_WAITING = 64
+# Without a lender an instance admits this part of what the workspace used here. All
+# instances together then stay within the tolerance of the limit.
+ALONE_FRACTION = 0.25
+NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class _Account:
+    """Tokens and demand of one workspace at this instance.
+
+    :ivar rate: operations a second that asked to be admitted, smoothed.
+    :ivar alone_level: tokens admitted without a lender.
+    """
+
+    level: float = 0.0
+    expires_at: float = NEVER
+    rate: float = 0.0
+    rate_at: float = NEVER
+    alone_level: float = 1.0
+    alone_at: float = NEVER
+    waiting: deque[StatementRequest] = field(default_factory=deque)
+    asked: tuple[int, float] | None = None
+    refused_until: float = NEVER
+
+
+class Admission:
+    """Holds an operation until a token for it is here, or refuses it.
+
+    Outlets: ``next`` (:class:`StatementRequest`), ``result``
+    (:class:`StatementResult`), ``peers`` (:class:`TokenRequest`).
+    """
+
+    def __init__(self) -> None:
+        self._table = EMPTY_TABLE
+        self._coordinators: tuple[str, ...] = ()
+        self._n_instances = 1
+        self._accounts: dict[str, _Account] = {}
+        self._n_requests = 0
+        self._next_tick: float | None = None
+
+    @property
+    def next_tick(self) -> float | None:
+        return self._next_tick
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, StatementRequest):
+            return self._take_request(message, now)
+        if isinstance(message, PeerEnvelope):
+            if isinstance(message.message, TokenGrant):
+                return self._take_grant(message.message, now)
+        elif isinstance(message, RoutesChanged):
+            self._table = message.table
+        elif isinstance(message, CoordinatorsHeard):
+            self._coordinators = message.names
+            self._n_instances = max(1, message.n_instances)
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        self._next_tick = None
+        emissions: list[Emission] = []
+        for workspace, account in self._accounts.items():
+            asked = account.asked
+            if asked is not None and now - asked[1] >= GRANT_SECONDS:
+                account.asked = None
+                emissions += self._admit_alone(workspace, account, now)
+            elif asked is not None:
+                self._wake_at(asked[1] + GRANT_SECONDS)
+        return emissions
+
+    def _wake_at(self, at: float) -> None:
+        if self._next_tick is None or at < self._next_tick:
+            self._next_tick = at
+
+    def _take_request(self, request: StatementRequest, now: float) -> list[Emission]:
+        plan = self._table.plans.get(request.workspace)
+        if not request.starts_operation or plan is None:
+            return [Emission("next", request)]
+        account = self._accounts.setdefault(plan.name, _Account())
+        self._note_demand(account, now)
+        if account.expires_at <= now:
+            account.level = 0.0
+        if account.level >= 1.0 and not account.waiting:
+            account.level -= 1.0
+            emissions = [Emission("next", request)]
+            if account.level < self._find_prefetch(account) / 2:
+                emissions += self._ask(plan.name, account, now)
+            return emissions
+        if now < account.refused_until:
+            return [self._refuse(request, account.refused_until - now)]
+        if len(account.waiting) >= MAX_WAITING:
+            return [self._refuse(request, GRANT_SECONDS)]
+        account.waiting.append(request)
+        return self._ask(plan.name, account, now)
+
+    def _note_demand(self, account: _Account, now: float) -> None:
+        if account.rate_at == NEVER:
+            account.rate_at = now - RATE_WINDOW_SECONDS
+        decay = math.exp(-max(0.0, now - account.rate_at) / RATE_WINDOW_SECONDS)
+        account.rate = account.rate * decay + 1.0 / RATE_WINDOW_SECONDS
+        account.rate_at = now
+
+    def _find_prefetch(self, account: _Account) -> int:
+        return min(MAX_PREFETCH, math.floor(account.rate * PREFETCH_SECONDS))
+
+    def _ask(self, workspace: str, account: _Account, now: float) -> list[Emission]:
+        if account.asked is not None:
+            return []
+        lenders = rank_candidates(workspace, self._coordinators)
+        if not lenders:
+            return self._admit_alone(workspace, account, now)
+        n_tokens = len(account.waiting) + self._find_prefetch(account)
+        if n_tokens <= 0:
+            return []
+        self._n_requests += 1
+        account.asked = (self._n_requests, now)
+        self._wake_at(now + GRANT_SECONDS)
+        request = TokenRequest(
+            number=self._n_requests, workspace=workspace, n_tokens=n_tokens
+        )
+        return [Emission("peers", PeerEnvelope(peer=lenders[0], message=request))]
+
+    def _take_grant(self, grant: TokenGrant, now: float) -> list[Emission]:
+        account = self._accounts.get(grant.workspace)
+        if account is None or account.asked is None:
+            return []
+        if account.asked[0] != grant.number:
+            return []
+        account.asked = None
+        if account.expires_at <= now:
+            account.level = 0.0
+        account.level += grant.n_tokens
+        account.expires_at = now + TOKEN_LIFETIME_SECONDS
+        emissions: list[Emission] = []
+        while account.waiting and account.level >= 1.0:
+            account.level -= 1.0
+            emissions.append(Emission("next", account.waiting.popleft()))
+        if grant.n_tokens == 0:
+            wait = grant.retry_after_seconds
+            account.refused_until = now + wait
+            while account.waiting:
+                emissions.append(self._refuse(account.waiting.popleft(), wait))
+        elif account.waiting:
+            emissions += self._ask(grant.workspace, account, now)
+        return emissions
+
+    def _admit_alone(
+        self, workspace: str, account: _Account, now: float
+    ) -> list[Emission]:
+        """Decide without a lender."""
+        plan = self._table.plans.get(workspace)
+        rate = 0.0 if plan is None else self._find_alone_rate(plan, account)
+        if account.alone_at > NEVER:
+            gained = (now - account.alone_at) * rate
+            account.alone_level = min(max(1.0, rate), account.alone_level + gained)
+        account.alone_at = now
+        emissions: list[Emission] = []
+        while account.waiting:
+            request = account.waiting.popleft()
+            if account.alone_level >= 1.0:
+                account.alone_level -= 1.0
+                emissions.append(Emission("next", request))
+            else:
+                emissions.append(self._refuse(request, GRANT_SECONDS))
+        return emissions
+
+    def _find_alone_rate(self, plan: WorkspacePlan, account: _Account) -> float:
+        limit = plan.operations_per_second
+        if limit <= 0:
+            return 0.0
+        share = max(min(1.0, account.rate / limit), 1.0 / self._n_instances)
+        return ALONE_FRACTION * share * limit
+
+    def _refuse(self, request: StatementRequest, wait: float) -> Emission:
+        result = StatementResult(
+            request=request,
+            code=ErrorCode.BUSY,
+            message=f"rate limit; retry after {max(wait, 0.01):.2f} s",
+        )
+        return Emission("result", result)
--- /dev/null
+++ b/src/sardinemill/sessions/connections.py
@@ -0,0 +1,235 @@
+"""Connections of this instance to databases: which are open, for whom, in what state.
+
+Plain state without I/O; :class:`~sardinemill.sessions.placement.Placement` owns it.
+"""
+
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .messages import (
+    Dispatch,
+    PreparedStatement,
+    Statement,
+    StatementKind,
+    TransactionStep,
+)
+
+# Open connections to one database above which an idle one of another workspace is
+# closed before a new one is opened. A database of the smallest deployment accepts 49
+# connections from 19 instances.
+SOFT_LIMIT = 3
+# Open connections to one database at most; more only wait at the database.
+HARD_LIMIT = 8
+# Idle connections are closed so that other instances find room at the database.
+IDLE_SECONDS = 8.0
+# A connection that carries more prepared statements is reset.
+MAX_PREPARED = 200
+
+
+@dataclass(frozen=True, slots=True)
+class SetupStep:
+    """Statement of our own before a client's statement.
+
+    :param prepared: definition, for a prepared statement.
+    :param is_begin: begins the transaction; its failure leaves the connection usable.
+    """
+
+    statement: Statement
+    prepared: PreparedStatement | None = None
+    is_begin: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One connection, for one workspace.
+
+    :ivar values: session values that it has.
+    :ivar session_id: session whose transaction it carries.
+    :ivar dispatch: statement in progress.
+    :ivar setup: statements of our own that run before it.
+    :ivar is_abandoned: its transaction is to be rolled back.
+    """
+
+    number: int
+    database: str
+    workspace: str
+    used_at: float
+    is_open: bool = False
+    values: dict[str, str] = field(default_factory=dict, repr=False)
+    prepared: set[PreparedStatement] = field(default_factory=set)
+    session_id: int | None = None
+    dispatch: Dispatch | None = None
+    setup: tuple[SetupStep, ...] = ()
+    is_rolling_back: bool = False
+    is_abandoned: bool = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Free for any session of its workspace."""
+        return (
+            self.is_open
+            and self.session_id is None
+            and self.dispatch is None
+            and not self.is_rolling_back
+        )
+
+
+class ConnectionBook:
+    """All connections of the instance, and what waits for one."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+        self._connections: dict[int, Connection] = {}
+        self._waiting: dict[str, list[Dispatch]] = {}
+
+    def get(self, number: int) -> Connection | None:
+        """Connection of a number, ``None`` once it is closed."""
+        return self._connections.get(number)
+
+    def find_pinned(self, session_id: int) -> Connection | None:
+        """Connection that carries the transaction of a session."""
+        for item in self._connections.values():
+            if item.session_id == session_id:
+                return item
+        return None
+
+    def list_database(self, database: str) -> list[Connection]:
+        """Connections to a database, also those that are being opened."""
+        return [
+            item for item in self._connections.values() if item.database == database
+        ]
+
+    def count_busy(self, database: str) -> int:
+        """Statements of this instance that are at a database or wait for it."""
+        running = sum(
+            item.dispatch is not None for item in self.list_database(database)
+        )
+        return running + len(self._waiting.get(database, ()))
+
+    def find_idle(
+        self, database: str, workspace: str, values: Iterable[tuple[str, str]]
+    ) -> Connection | None:
+        """Idle connection that needs the fewest statements of our own."""
+        wanted = dict(values)
+        idle = [
+            item
+            for item in self.list_database(database)
+            if item.is_idle and item.workspace == workspace
+        ]
+        return min(idle, key=lambda item: _count_changes(item, wanted), default=None)
+
+    def open(self, database: str, workspace: str, now: float) -> Connection:
+        """Note a connection that is about to be opened."""
+        number = next(self._numbers)
+        connection = Connection(number, database, workspace, now)
+        self._connections[number] = connection
+        return connection
+
+    def close(self, number: int) -> Connection | None:
+        """Forget a connection."""
+        return self._connections.pop(number, None)
+
+    def find_surplus(self, database: str, workspace: str) -> Connection | None:
+        """Idle connection of another workspace, the one used longest ago."""
+        idle = [
+            item
+            for item in self.list_database(database)
+            if item.is_idle and item.workspace != workspace
+        ]
+        return min(idle, key=lambda item: item.used_at, default=None)
+
+    def list_expired(self, now: float) -> list[Connection]:
+        """Connections that were idle for too long."""
+        return [
+            item
+            for item in self._connections.values()
+            if item.is_idle and now - item.used_at > IDLE_SECONDS
+        ]
+
+    # Statements that wait
+
+    def wait(self, dispatch: Dispatch) -> None:
+        """Queue a statement for a connection; urgent ones first."""
+        queue = self._waiting.setdefault(dispatch.database, [])
+        queue.append(dispatch)
+        queue.sort(
+            key=lambda item: (item.request.route.priority, item.request.received_at)
+        )
+
+    def list_waiting(self, database: str) -> list[Dispatch]:
+        """Statements that wait for a database, first to be served first."""
+        return list(self._waiting.get(database, ()))
+
+    def remove_waiting(self, dispatch: Dispatch) -> None:
+        """Take a statement out of the queue."""
+        queue = self._waiting.get(dispatch.database, [])
+        if dispatch in queue:
+            queue.remove(dispatch)
+
+    def list_overdue(self, now: float) -> list[Dispatch]:
+        """Statements that waited past the end of their attempt."""
+        return [
+            item
+            for queue in self._waiting.values()
+            for item in queue
+            if item.attempt_deadline <= now
+        ]
+
+    def find_next_deadline(self) -> float | None:
+        """Earliest end of an attempt that waits."""
+        deadlines = (
+            item.attempt_deadline for queue in self._waiting.values() for item in queue
+        )
+        return min(deadlines, default=None)
+
+
+def _count_changes(connection: Connection, wanted: dict[str, str]) -> int:
+    n_foreign = len(connection.values.keys() - wanted.keys())
+    n_different = sum(
+        connection.values.get(name) != value for name, value in wanted.items()
+    )
+    return n_different + (1 + len(connection.prepared) if n_foreign else 0)
+
+
+def plan_setup(connection: Connection, dispatch: Dispatch) -> tuple[SetupStep, ...]:
+    """Find what a connection needs before it can run a statement.
+
+    Inside a transaction that it carries already, only a prepared statement or a value
+    can be missing.
+    """
+    request = dispatch.request
+    wanted = dict(request.values)
+    has = dict(connection.values)
+    known = set(connection.prepared)
+    steps: list[SetupStep] = []
+    is_free = connection.session_id is None
+    if is_free and (has.keys() - wanted.keys() or len(known) > MAX_PREPARED):
+        steps.append(SetupStep(Statement(StatementKind.RESET)))
+        has, known = {}, set()
+    for name, value in wanted.items():
+        if has.get(name) != value:
+            steps.append(SetupStep(Statement(StatementKind.SET, name, value)))
+    prepared = request.prepared
+    if prepared is not None and prepared not in known:
+        statement = Statement(
+            StatementKind.PREPARE, "", prepared.shape, prepared.is_read_only
+        )
+        steps.append(SetupStep(statement, prepared))
+    if is_free and request.step is not TransactionStep.NONE:
+        begin = Statement(StatementKind.BEGIN, is_read_only=request.is_read_only)
+        steps.append(SetupStep(begin, is_begin=True))
+    return tuple(steps)
+
+
+def apply_setup(connection: Connection, steps: Iterable[SetupStep]) -> None:
+    """Note what the statements of our own have changed."""
+    for step in steps:
+        kind = step.statement.kind
+        if kind is StatementKind.RESET:
+            connection.values.clear()
+            connection.prepared.clear()
+        elif kind is StatementKind.SET:
+            connection.values[step.statement.name] = step.statement.argument
+        elif step.prepared is not None:
+            connection.prepared.add(step.prepared)
--- /dev/null
+++ b/src/sardinemill/sessions/conversations.py
@@ -0,0 +1,421 @@
+"""Filter that keeps the sessions: values, prepared statements and transactions."""
+
+import itertools
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+
+from ..events import Event, EventName
+from ..interfaces import Emission
+from ..positions import ORIGIN, LogPosition
+from .messages import (
+    DrainStarted,
+    Effect,
+    ErrorCode,
+    PreparedStatement,
+    SessionAccepted,
+    SessionClosed,
+    SessionOpened,
+    SessionRefused,
+    SessionState,
+    Statement,
+    StatementAnswered,
+    StatementKind,
+    StatementReceived,
+    StatementRequest,
+    StatementResult,
+    TransactionAbandoned,
+    TransactionStep,
+)
+from .routes import EMPTY_TABLE, Consistency, Route, RoutesChanged
+
+# Idle transactions are looked for at this interval.
+IDLE_CHECK_SECONDS = 0.5
+# Name of the workspace of callers without a key on open routes.
+ANONYMOUS = "-"
+
+
+@dataclass(slots=True)
+class _Transaction:
+    """Open transaction of a session.
+
+    :ivar is_open: a database has begun it.
+    :ivar is_failed: it holds nothing any more; the client has to end it.
+    """
+
+    route: Route
+    workspace: str
+    is_read_only: bool
+    is_open: bool = False
+    is_failed: bool = False
+
+
+@dataclass(slots=True)
+class _Session:
+    """State of one client connection.
+
+    :ivar key: as the client gave it; checked anew for each statement.
+    :ivar floors: position of the last own write by group.
+    :ivar active_at: end of the last statement.
+    """
+
+    session_id: int
+    database: str
+    key: str = field(repr=False)
+    values: dict[str, str] = field(default_factory=dict, repr=False)
+    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
+    floors: dict[str, LogPosition] = field(default_factory=dict)
+    transaction: _Transaction | None = None
+    request: StatementRequest | None = None
+    active_at: float = 0.0
+
+
+class Conversations:
+    """Answers what needs no database and passes on the rest.
+
+    Outlets: ``next`` (:class:`StatementRequest`), ``client`` (answers), ``abandoned``
+    (:class:`TransactionAbandoned`), ``events``.
+    """
+
+    def __init__(self) -> None:
+        self._table = EMPTY_TABLE
+        self._sessions: dict[int, _Session] = {}
+        self._numbers = itertools.count(1)
+        self._check_at = 0.0
+        self._transactions_end_at: float | None = None
+
+    @property
+    def next_tick(self) -> float | None:
+        return self._check_at
+
+    def handle(self, message: object, now: float) -> Sequence[Emission]:
+        if isinstance(message, StatementReceived):
+            return self._take_statement(message, now)
+        if isinstance(message, StatementResult):
+            return self._take_result(message, now)
+        if isinstance(message, SessionOpened):
+            return [self._open(message, now)]
+        if isinstance(message, SessionClosed):
+            return self._close(message.session_id)
+        if isinstance(message, RoutesChanged):
+            self._table = message.table
+        elif isinstance(message, DrainStarted):
+            self._transactions_end_at = message.transactions_end_at
+        return ()
+
+    def tick(self, now: float) -> Sequence[Emission]:
+        self._check_at = now + IDLE_CHECK_SECONDS
+        limit = self._table.configuration.transaction_idle_seconds
+        end_at = self._transactions_end_at
+        is_ending = end_at is not None and now >= end_at
+        emissions: list[Emission] = []
+        for session in self._sessions.values():
+            transaction = session.transaction
+            if transaction is None or transaction.is_failed or session.request:
+                continue
+            if now - session.active_at > limit or is_ending:
+                emissions += self._abandon(session)
+                fields = {
+                    "session": session.session_id,
+                    "group": transaction.route.group,
+                    "idle_seconds": round(now - session.active_at, 3),
+                    "limit_seconds": limit,
+                    "is_draining": is_ending,
+                }
+                event = Event(EventName.TRANSACTION_IDLE, fields)
+                emissions.append(Emission("events", event))
+        return emissions
+
+    # Sessions
+
+    def _open(self, message: SessionOpened, now: float) -> Emission:
+        _, fault = self._find_route(message.database, message.key)
+        if fault is not None:
+            code, text = fault
+            refused = SessionRefused(message.session_id, code, text)
+            return Emission("client", refused)
+        self._sessions[message.session_id] = _Session(
+            message.session_id, message.database, message.key, active_at=now
+        )
+        return Emission("client", SessionAccepted(message.session_id))
+
+    def _close(self, session_id: int) -> list[Emission]:
+        session = self._sessions.pop(session_id, None)
+        return [] if session is None else self._abandon(session)
+
+    def _abandon(self, session: _Session) -> list[Emission]:
+        transaction = session.transaction
+        if transaction is None:
+            return []
+        transaction.is_failed = True
+        if not transaction.is_open and session.request is None:
+            return []
+        transaction.is_open = False
+        return [Emission("abandoned", TransactionAbandoned(session.session_id))]
+
+    def _find_route(
+        self, database: str, key: str
+    ) -> tuple[tuple[Route, str] | None, tuple[ErrorCode, str] | None]:
+        """Find route and workspace, or why there are none."""
+        if not self._table.version:
+            return None, (ErrorCode.BUSY, "no configuration yet; retry after 1 s")
+        route = self._table.routes.get(database)
+        if route is None:
+            return None, (ErrorCode.NO_DATABASE, "no such database")
+        workspace = self._table.workspaces.get(key)
+        if workspace is None and not route.is_open:
+            return None, (ErrorCode.ACCESS_DENIED, "unknown key")
+        return (route, workspace or ANONYMOUS), None
+
+    # Statements
+
+    def _take_statement(
+        self, message: StatementReceived, now: float
+    ) -> Sequence[Emission]:
+        session = self._sessions.get(message.session_id)
+        if session is None:
+            return ()
+        session.active_at = now
+        kind = message.statement.kind
+        transaction = session.transaction
+        ends = kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        if transaction is not None and transaction.is_failed and not ends:
+            return [_refuse(session, ErrorCode.MALFORMED, "the transaction failed")]
+        if kind is StatementKind.BEGIN:
+            return [self._begin(session, message.statement)]
+        if ends:
+            return self._end(session, message, now)
+        if kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE):
+            return self._request(session, message, now)
+        return [self._change_session(session, message.statement)]
+
+    def _change_session(self, session: _Session, statement: Statement) -> Emission:
+        """Carry out what concerns only the session."""
+        if statement.kind is StatementKind.SET:
+            session.values[statement.name] = statement.argument
+        elif statement.kind is StatementKind.PREPARE:
+            session.prepared[statement.name] = PreparedStatement(
+                statement.argument, statement.is_read_only
+            )
+        elif statement.kind is StatementKind.DEALLOCATE:
+            if session.prepared.pop(statement.name, None) is None:
+                return _refuse(session, ErrorCode.UNKNOWN_STATEMENT, statement.name)
+        else:
+            return _refuse(session, ErrorCode.MALFORMED, "not a statement")
+        return _accept(session)
+
+    def _begin(self, session: _Session, statement: Statement) -> Emission:
+        if session.transaction is not None:
+            return _refuse(session, ErrorCode.MALFORMED, "a transaction is open")
+        found, fault = self._find_route(session.database, session.key)
+        if found is None:
+            assert fault is not None
+            return _refuse(session, *fault)
+        route, workspace = found
+        session.transaction = _Transaction(route, workspace, statement.is_read_only)
+        return _accept(session)
+
+    def _end(
+        self, session: _Session, message: StatementReceived, now: float
+    ) -> Sequence[Emission]:
+        transaction = session.transaction
+        if transaction is None:
+            return [_refuse(session, ErrorCode.MALFORMED, "no transaction is open")]
+        if message.statement.kind is StatementKind.ROLLBACK:
+            emissions = self._abandon(session)
+            session.transaction = None
+            return [*emissions, _accept(session)]
+        if transaction.is_failed:
+            session.transaction = None
+            return [_refuse(session, ErrorCode.ABORTED, "the transaction failed")]
+        return self._send(
+            session,
+            message,
+            transaction.route,
+            transaction.workspace,
+            TransactionStep.COMMIT,
+            transaction.is_read_only,
+            None,
+            now,
+        )
+
+    def _request(
+        self, session: _Session, message: StatementReceived, now: float
+    ) -> Sequence[Emission]:
+        statement = message.statement
+        is_read_only = statement.is_read_only
+        prepared = None
+        if statement.kind is StatementKind.EXECUTE:
+            prepared = session.prepared.get(statement.name)
+            if prepared is None:
+                return self._fail(session, ErrorCode.UNKNOWN_STATEMENT, statement.name)
+            is_read_only = prepared.is_read_only
+        found, fault = self._find_route(session.database, session.key)
+        transaction = session.transaction
+        if found is None:
+            assert fault is not None
+            code, text = fault
+            # A route that was taken away still serves the transactions begun on it.
+            if transaction is None or code is not ErrorCode.NO_DATABASE:
+                return self._fail(session, code, text)
+        if transaction is None:
+            assert found is not None
+            route, workspace = found
+            step = TransactionStep.NONE
+        else:
+            route, workspace = transaction.route, transaction.workspace
+            is_first = not transaction.is_open
+            step = TransactionStep.FIRST if is_first else TransactionStep.LATER
+            is_read_only = transaction.is_read_only
+        return self._send(
+            session, message, route, workspace, step, is_read_only, prepared, now
+        )
+
+    def _send(
+        self,
+        session: _Session,
+        message: StatementReceived,
+        route: Route,
+        workspace: str,
+        step: TransactionStep,
+        is_read_only: bool,
+        prepared: PreparedStatement | None,
+        now: float,
+    ) -> Sequence[Emission]:
+        floor = ORIGIN
+        if route.consistency is Consistency.READ_YOUR_WRITES:
+            floor = session.floors.get(route.group, ORIGIN)
+        request = StatementRequest(
+            request_id=next(self._numbers),
+            session_id=session.session_id,
+            statement_id=message.statement_id,
+            statement=message.statement,
+            route=route,
+            workspace=workspace,
+            starts_operation=step in (TransactionStep.NONE, TransactionStep.FIRST),
+            step=step,
+            is_read_only=is_read_only,
+            values=tuple(sorted(session.values.items())),
+            prepared=prepared,
+            floor=floor,
+            received_at=now,
+            deadline=now + route.timeout_seconds,
+        )
+        session.request = request
+        return [Emission("next", request)]
+
+    def _fail(
+        self, session: _Session, code: ErrorCode, text: str
+    ) -> Sequence[Emission]:
+        """Refuse a statement; an open transaction fails with it."""
+        return [*self._abandon(session), _refuse(session, code, text)]
+
+    # Results
+
+    def _take_result(self, result: StatementResult, now: float) -> Sequence[Emission]:
+        request = result.request
+        session = self._sessions.get(request.session_id)
+        emissions = self._tell_failure(result, now)
+        if session is None or session.request is not request:
+            return emissions
+        session.request = None
+        session.active_at = now
+        if result.code is None and result.is_answered:
+            self._note_success(session, result)
+        else:
+            result = self._note_failure(session, result, emissions)
+        answer = StatementAnswered(
+            session_id=session.session_id,
+            state=_find_state(session),
+            rows=result.rows,
+            signature=result.signature,
+            code=result.code,
+            message=result.message,
+        )
+        return [*emissions, Emission("client", answer)]
+
+    def _note_success(self, session: _Session, result: StatementResult) -> None:
+        request = result.request
+        is_committed = request.step is TransactionStep.COMMIT
+        if is_committed:
+            session.transaction = None
+        elif session.transaction is not None:
+            session.transaction.is_open = True
+        is_write = request.step is TransactionStep.NONE and not request.is_read_only
+        if result.position is not None and (
+            is_write or (is_committed and not request.is_read_only)
+        ):
+            group = request.route.group
+            known = session.floors.get(group, ORIGIN)
+            session.floors[group] = max(known, result.position)
+
+    def _note_failure(
+        self,
+        session: _Session,
+        result: StatementResult,
+        emissions: list[Emission],
+    ) -> StatementResult:
+        request = result.request
+        if request.step is TransactionStep.COMMIT:
+            emissions += self._abandon(session)
+            session.transaction = None
+        elif session.transaction is not None:
+            if request.step is TransactionStep.LATER or result.is_answered:
+                session.transaction.is_open = True
+            emissions += self._abandon(session)
+        if result.code is not None:
+            return result
+        code, text = _explain_lost_answer(request, result.effect)
+        return replace(result, code=code, message=text)
+
+    def _tell_failure(self, result: StatementResult, now: float) -> list[Emission]:
+        request = result.request
+        if result.code is None and result.is_answered:
+            return []
+        fields = {
+            "statement_id": request.statement_id,
+            "session": request.session_id,
+            "workspace": request.workspace,
+            "group": request.route.group,
+            "route": request.route.name,
+            "configuration_version": self._table.version,
+            "step": request.step.value,
+            "code": None if result.code is None else result.code.value,
+            "effect": result.effect.value,
+            "database": result.database,
+            "reason": result.message,
+            "seconds": round(now - request.received_at, 4),
+        }
+        return [Emission("events", Event(EventName.STATEMENT_REFUSED, fields))]
+
+
+def _explain_lost_answer(
+    request: StatementRequest, effect: Effect
+) -> tuple[ErrorCode, str]:
+    """Say what is certain about a statement that no database answered."""
+    is_write = not request.is_read_only
+    ends_write = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
+    if effect is Effect.UNKNOWN and is_write and ends_write:
+        return ErrorCode.IN_DOUBT, "the database did not answer"
+    if request.step is not TransactionStep.NONE:
+        return ErrorCode.ABORTED, "the database did not answer; rolled back"
+    return ErrorCode.BUSY, "no database answered; retry after 0.1 s"
+
+
+def _find_state(session: _Session) -> SessionState:
+    if session.transaction is None:
+        return SessionState.IDLE
+    if session.transaction.is_failed:
+        return SessionState.FAILED_TRANSACTION
+    return SessionState.IN_TRANSACTION
+
+
+def _accept(session: _Session) -> Emission:
+    answer = StatementAnswered(session.session_id, _find_state(session))
+    return Emission("client", answer)
+
+
+def _refuse(session: _Session, code: ErrorCode, text: str) -> Emission:
+    answer = StatementAnswered(
+        session.session_id, _find_state(session), code=code, message=text
+    )
+    return Emission("client", answer)
