Keep connections by share, start lenders with part of the burst; tests of the new filters

The new test of instances without a lender admitted 440 operations where the plan allows 350: each took the demand it saw for its share. It now takes what lenders granted.

Ruled out: a fixed lower number of connections (wastes Lombardy's 82).

--- a/src/sardinemill/fleet/tokens.py
+++ b/src/sardinemill/fleet/tokens.py
@@ -18,6 +18,9 @@
 # The rest of the burst covers tokens that are lent and not yet spent, and what
 # instances without a lender admit on their own.
 BURST_FRACTION = 0.5
+# A lender does not know what its predecessor lent a moment ago. With this part of the
+# burst at its start both together stay within the whole burst.
+START_FRACTION = 0.25
 # Part of the rate that a coordinator lends which is not the first of the ranking. Two
 # lenders during a partition must stay within the tolerance of the limit.
 DEPUTY_FRACTION = 0.2
@@ -25,11 +28,7 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """Tokens of one workspace at a lender; starts empty.
-
-    A lender cannot know what its predecessor lent, so it starts with what the rate
-    brings from then on.
-    """
+    """Tokens of one workspace at a lender."""
 
     rate: float
     capacity: float
@@ -104,7 +103,8 @@
             bucket = self._buckets.get(request.workspace)
             if bucket is None:
                 rate, capacity = self._find_limits(plan)
-                bucket = TokenBucket(rate, capacity, 0.0, now)
+                level = min(capacity, plan.burst * START_FRACTION)
+                bucket = TokenBucket(rate, capacity, level, now)
                 self._buckets[request.workspace] = bucket
             n_tokens = bucket.take(request.n_tokens, now)
             wait = bucket.find_wait()
--- a/src/sardinemill/serving.py
+++ b/src/sardinemill/serving.py
@@ -155,13 +155,13 @@
                 "store": store,
                 "peers": peers,
                 "links": peers,
-                "routes": FanOut([conversations, admission, lending]),
+                "routes": FanOut([conversations, admission, lending, placement]),
                 "directory": FanOut([placement, promotion]),
                 "record": FanOut([placement, promotion, lending]),
                 "positions": placement,
                 "contacts": promotion,
                 "coordination": promotion,
-                "coordinators": admission,
+                "coordinators": FanOut([admission, placement]),
                 "known": self.readiness,
             }
         )
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -23,24 +23,46 @@
 RATE_WINDOW_SECONDS = 2.0
 # Operations of one workspace that may wait for tokens.
 MAX_WAITING = 64
-# Without a lender an instance admits this part of what the workspace used here. All
-# instances together then stay within the tolerance of the limit.
+# Without a lender an instance admits this part of what the workspace was lent here,
+# or of an equal share. All instances together stay within the tolerance of the limit.
 ALONE_FRACTION = 0.25
 NEVER = float("-inf")
 
 
+@dataclass(slots=True)
+class SmoothedRate:
+    """Events a second over the last seconds, older ones weighing less."""
+
+    value: float = 0.0
+    updated_at: float = NEVER
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self.value = self.read(now) + 1.0 / RATE_WINDOW_SECONDS
+        self.updated_at = now
+
+    def read(self, now: float) -> float:
+        """The rate as of now."""
+        if self.updated_at == NEVER:
+            return 0.0
+        elapsed = max(0.0, now - self.updated_at)
+        return self.value * math.exp(-elapsed / RATE_WINDOW_SECONDS)
+
+
 @dataclass(slots=True)
 class _Account:
     """Tokens and demand of one workspace at this instance.
 
-    :ivar rate: operations a second that asked to be admitted, smoothed.
-    :ivar alone_level: tokens admitted without a lender.
+    :ivar asked_rate: of the operations that asked to be admitted.
+    :ivar lent_rate: of those that a lender's tokens admitted; over all instances it
+        adds up to no more than the limit.
+    :ivar alone_level: tokens for admission without a lender.
     """
 
     level: float = 0.0
     expires_at: float = NEVER
-    rate: float = 0.0
-    rate_at: float = NEVER
+    asked_rate: SmoothedRate = field(default_factory=SmoothedRate)
+    lent_rate: SmoothedRate = field(default_factory=SmoothedRate)
     alone_level: float = 1.0
     alone_at: float = NEVER
     waiting: deque[StatementRequest] = field(default_factory=deque)
@@ -101,13 +123,14 @@
         if not request.starts_operation or plan is None:
             return [Emission("next", request)]
         account = self._accounts.setdefault(plan.name, _Account())
-        self._note_demand(account, now)
+        account.asked_rate.add(now)
         if account.expires_at <= now:
             account.level = 0.0
         if account.level >= 1.0 and not account.waiting:
             account.level -= 1.0
+            account.lent_rate.add(now)
             emissions = [Emission("next", request)]
-            if account.level < self._find_prefetch(account) / 2:
+            if account.level < self._find_prefetch(account, now) / 2:
                 emissions += self._ask(plan.name, account, now)
             return emissions
         if now < account.refused_until:
@@ -117,15 +140,9 @@
         account.waiting.append(request)
         return self._ask(plan.name, account, now)
 
-    def _note_demand(self, account: _Account, now: float) -> None:
-        if account.rate_at == NEVER:
-            account.rate_at = now - RATE_WINDOW_SECONDS
-        decay = math.exp(-max(0.0, now - account.rate_at) / RATE_WINDOW_SECONDS)
-        account.rate = account.rate * decay + 1.0 / RATE_WINDOW_SECONDS
-        account.rate_at = now
-
-    def _find_prefetch(self, account: _Account) -> int:
-        return min(MAX_PREFETCH, math.floor(account.rate * PREFETCH_SECONDS))
+    def _find_prefetch(self, account: _Account, now: float) -> int:
+        wanted = math.floor(account.asked_rate.read(now) * PREFETCH_SECONDS)
+        return min(MAX_PREFETCH, wanted)
 
     def _ask(self, workspace: str, account: _Account, now: float) -> list[Emission]:
         if account.asked is not None:
@@ -133,7 +150,7 @@
         lenders = rank_candidates(workspace, self._coordinators)
         if not lenders:
             return self._admit_alone(workspace, account, now)
-        n_tokens = len(account.waiting) + self._find_prefetch(account)
+        n_tokens = len(account.waiting) + self._find_prefetch(account, now)
         if n_tokens <= 0:
             return []
         self._n_requests += 1
@@ -158,6 +175,7 @@
         emissions: list[Emission] = []
         while account.waiting and account.level >= 1.0:
             account.level -= 1.0
+            account.lent_rate.add(now)
             emissions.append(Emission("next", account.waiting.popleft()))
         if grant.n_tokens == 0:
             wait = grant.retry_after_seconds
@@ -173,7 +191,7 @@
     ) -> list[Emission]:
         """Decide without a lender."""
         plan = self._table.plans.get(workspace)
-        rate = 0.0 if plan is None else self._find_alone_rate(plan, account)
+        rate = 0.0 if plan is None else self._find_alone_rate(plan, account, now)
         if account.alone_at > NEVER:
             gained = (now - account.alone_at) * rate
             account.alone_level = min(max(1.0, rate), account.alone_level + gained)
@@ -188,11 +206,14 @@
                 emissions.append(self._refuse(request, GRANT_SECONDS))
         return emissions
 
-    def _find_alone_rate(self, plan: WorkspacePlan, account: _Account) -> float:
+    def _find_alone_rate(
+        self, plan: WorkspacePlan, account: _Account, now: float
+    ) -> float:
         limit = plan.operations_per_second
         if limit <= 0:
             return 0.0
-        share = max(min(1.0, account.rate / limit), 1.0 / self._n_instances)
+        lent_share = min(1.0, account.lent_rate.read(now) / limit)
+        share = max(lent_share, 1.0 / self._n_instances)
         return ALONE_FRACTION * share * limit
 
     def _refuse(self, request: StatementRequest, wait: float) -> Emission:
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -4,7 +4,8 @@
 """
 
 import itertools
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from .messages import (
@@ -15,14 +16,18 @@
     TransactionStep,
 )
 
-# Open connections to one database above which an idle one of another workspace is
-# closed before a new one is opened. A database of the smallest deployment accepts 49
-# connections from 19 instances.
-SOFT_LIMIT = 3
+# Part of a database's connections that all instances together keep open between
+# statements. The rest is room for statements that find no idle connection.
+KEPT_FRACTION = 0.8
+# Connections that each instance may keep while the database's limit is not known.
+DEFAULT_N_KEPT = 2.0
 # Open connections to one database at most; more only wait at the database.
 HARD_LIMIT = 8
 # Idle connections are closed so that other instances find room at the database.
 IDLE_SECONDS = 8.0
+# Above the number that it may keep, an instance closes connections sooner. The time is
+# that of a pause between two statements of the same client.
+SURPLUS_IDLE_SECONDS = 0.3
 # A connection that carries more prepared statements is reset.
 MAX_PREPARED = 200
 
@@ -139,13 +144,22 @@
         ]
         return min(idle, key=lambda item: item.used_at, default=None)
 
-    def list_expired(self, now: float) -> list[Connection]:
-        """Connections that were idle for too long."""
-        return [
-            item
-            for item in self._connections.values()
-            if item.is_idle and now - item.used_at > IDLE_SECONDS
-        ]
+    def list_expired(self, n_kept: Mapping[str, float], now: float) -> list[Connection]:
+        """Connections that were idle for too long.
+
+        :param n_kept: connections that the instance may keep, by database.
+        """
+        n_open = Counter(item.database for item in self._connections.values())
+        expired = []
+        for item in sorted(self._connections.values(), key=lambda item: item.used_at):
+            is_surplus = n_open[item.database] > n_kept.get(
+                item.database, DEFAULT_N_KEPT
+            )
+            limit = SURPLUS_IDLE_SECONDS if is_surplus else IDLE_SECONDS
+            if item.is_idle and now - item.used_at > limit:
+                n_open[item.database] -= 1
+                expired.append(item)
+        return expired
 
     # Statements that wait
 
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -16,11 +16,13 @@
     PositionSeen,
     RecordConfirmed,
 )
+from ..fleet.state import CoordinatorsHeard
 from ..interfaces import Emission
 from ..positions import LogPosition
 from .connections import (
+    DEFAULT_N_KEPT,
     HARD_LIMIT,
-    SOFT_LIMIT,
+    KEPT_FRACTION,
     Connection,
     ConnectionBook,
     apply_setup,
@@ -45,7 +47,7 @@
     TransactionAbandoned,
     TransactionStep,
 )
-from .routes import Consistency
+from .routes import EMPTY_TABLE, Consistency, RoutesChanged
 
 # Databases tried for one statement.
 MAX_ATTEMPTS = 3
@@ -62,7 +64,7 @@
 ABSENT_SECONDS = 2.0
 # A full database is asked for a connection again after this time.
 FULL_SECONDS = 0.05
-TICK_SECONDS = 0.5
+TICK_SECONDS = 0.1
 
 # Costs that add up to the preference between databases, in statements that wait.
 REMOTE_COST = 0.15
@@ -109,6 +111,8 @@
         self._full_until: dict[str, float] = {}
         self._next_tick = 0.0
         self._has_right = False
+        self._table = EMPTY_TABLE
+        self._n_instances = 1
 
     @property
     def next_tick(self) -> float | None:
@@ -137,6 +141,10 @@
             self._merge_position(message)
         elif isinstance(message, DirectoryChanged):
             self._change_directory(message.directory, now)
+        elif isinstance(message, RoutesChanged):
+            self._table = message.table
+        elif isinstance(message, CoordinatorsHeard):
+            self._n_instances = max(1, message.n_instances)
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -155,7 +163,11 @@
                 emissions += self._serve_waiting(database, now)
         if now >= self._next_tick:
             self._next_tick = now + TICK_SECONDS
-            for connection in self._book.list_expired(now):
+            n_kept = {
+                item.name: self._find_n_kept(item.group)
+                for item in self._directory.databases
+            }
+            for connection in self._book.list_expired(n_kept, now):
                 emissions.append(self._close(connection))
             emissions += self._tell_right(now)
         return emissions
@@ -326,6 +338,13 @@
 
     # Choice of a connection
 
+    def _find_n_kept(self, group: str) -> float:
+        """Connections to each database of a group that this instance may keep."""
+        limit = self._table.max_connections.get(group)
+        if limit is None:
+            return DEFAULT_N_KEPT
+        return limit * KEPT_FRACTION / self._n_instances
+
     def _dispatch(
         self, attempt: _Attempt, entry: DatabaseEntry, now: float
     ) -> list[Emission]:
@@ -366,15 +385,15 @@
             return []
         emissions: list[Emission] = []
         n_open = len(self._book.list_database(database))
-        if n_open >= SOFT_LIMIT:
+        entry = self._find_entry(database, now)
+        if entry is None:
+            return emissions
+        if n_open >= max(1.0, self._find_n_kept(entry.group)):
             surplus = self._book.find_surplus(database, workspace)
             if surplus is not None:
                 emissions.append(self._close(surplus))
             elif n_open >= HARD_LIMIT:
                 return []
-        entry = self._find_entry(database, now)
-        if entry is None:
-            return emissions
         connection = self._book.open(database, workspace, now)
         command = OpenConnection(connection.number, entry, workspace)
         return [*emissions, Emission("connections", command)]
--- /dev/null
+++ b/tests/session_builders.py
@@ -0,0 +1,154 @@
+"""Values of the statement path and of the fleet for tests."""
+
+from sardinemill.fleet.records import (
+    Coordinator,
+    DatabaseEntry,
+    Directory,
+    DirectoryChanged,
+    FleetRecord,
+    GroupRecord,
+    RecordConfirmed,
+)
+from sardinemill.positions import ORIGIN
+from sardinemill.sessions.messages import (
+    Statement,
+    StatementKind,
+    StatementRequest,
+    TransactionStep,
+)
+from sardinemill.sessions.routes import (
+    Configuration,
+    Consistency,
+    Route,
+    RoutesChanged,
+    WorkspacePlan,
+    make_route_table,
+)
+
+KEY = "key-of-hives"
+READ = Statement(StatementKind.READ, "1a4", "", True)
+WRITE = Statement(StatementKind.WRITE, "1a4", "data")
+COMMIT = Statement(StatementKind.COMMIT)
+ROLLBACK = Statement(StatementKind.ROLLBACK)
+BEGIN = Statement(StatementKind.BEGIN)
+BEGIN_READ = Statement(StatementKind.BEGIN, is_read_only=True)
+
+
+def make_route(
+    database="bookings", group="g", consistency=Consistency.PRIMARY, **fields
+):
+    """Route with a time limit of one second."""
+    return Route(
+        name=f"r-{database}",
+        database=database,
+        group=group,
+        consistency=consistency,
+        timeout_seconds=fields.pop("timeout_seconds", 1.0),
+        **fields,
+    )
+
+
+STATUS_ROUTE = make_route(
+    "status", consistency=Consistency.BOUNDED_STALENESS, staleness_seconds=1.5
+)
+LOGS_ROUTE = make_route(
+    "logs", consistency=Consistency.READ_YOUR_WRITES, staleness_seconds=2.5
+)
+BOOKINGS_ROUTE = make_route()
+
+
+def make_configuration(version=1, routes=None, keys=(KEY,), rate=50.0, burst=50.0):
+    """Configuration with one workspace."""
+    return Configuration(
+        version=version,
+        routes=routes or (BOOKINGS_ROUTE, STATUS_ROUTE, LOGS_ROUTE),
+        workspaces=(
+            WorkspacePlan(
+                name="hives", keys=keys, operations_per_second=rate, burst=burst
+            ),
+        ),
+        transaction_idle_seconds=3.0,
+        max_connections=(("g", 49),),
+    )
+
+
+def make_routes_changed(**fields):
+    """Message for a new configuration."""
+    return RoutesChanged(make_route_table(make_configuration(**fields)))
+
+
+def make_database(name, data_centre="x", **fields):
+    """Entry of a database of the group ``g``."""
+    return DatabaseEntry(
+        name=name,
+        group=fields.pop("group", "g"),
+        data_centre=data_centre,
+        host="10.0.0.1",
+        port=9000,
+        n_slots=3,
+        born_ms=fields.pop("born_ms", 1),
+        **fields,
+    )
+
+
+DATABASES = (
+    make_database("p", "x", is_primary=True),
+    make_database("r1", "y"),
+    make_database("r2", "z"),
+)
+
+
+def make_directory(databases=DATABASES):
+    """Message for a list of databases."""
+    return DirectoryChanged(Directory(databases=tuple(databases)))
+
+
+def make_coordinator(name, incarnation="1"):
+    """Coordinator entry."""
+    return Coordinator(
+        name=name, data_centre="x", host="10.0.0.2", port=7000, incarnation=incarnation
+    )
+
+
+def make_record(primary="p", coordinators=("a", "b", "c"), **fields):
+    """Record with one group."""
+    return FleetRecord(
+        coordinators=tuple(make_coordinator(name) for name in coordinators),
+        groups=(GroupRecord(group="g", primary=primary, primary_born_ms=1, **fields),),
+    )
+
+
+def make_confirmed(at, primary="p", revision=1, **fields):
+    """Message that confirms a record at a time."""
+    return RecordConfirmed(make_record(primary, **fields), revision, at)
+
+
+def make_statement_request(number=1, statement=READ, route=STATUS_ROUTE, **fields):
+    """Request that was received at 100 s."""
+    received_at = fields.pop("received_at", 100.0)
+    return StatementRequest(
+        request_id=number,
+        session_id=fields.pop("session_id", number),
+        statement_id=f"{number:016x}",
+        statement=statement,
+        route=route,
+        workspace=fields.pop("workspace", "hives"),
+        starts_operation=fields.pop("starts_operation", True),
+        step=fields.pop("step", TransactionStep.NONE),
+        is_read_only=fields.pop("is_read_only", statement.is_read_only),
+        values=fields.pop("values", ()),
+        prepared=fields.pop("prepared", None),
+        floor=fields.pop("floor", ORIGIN),
+        received_at=received_at,
+        deadline=fields.pop("deadline", received_at + route.timeout_seconds),
+        **fields,
+    )
+
+
+def select(emissions, outlet, kind=object):
+    """Messages of one kind for one outlet."""
+    return [
+        item.message
+        for item in emissions
+        if item.outlet == outlet and isinstance(item.message, kind)
+    ]
--- /dev/null
+++ b/tests/test_fleet_state.py
@@ -0,0 +1,322 @@
+"""Views of the fleet of several instances, joined by a network under test control."""
+
+import pytest
+
+from sardinemill.adapters.clocks import SeededRandom
+from sardinemill.control import PeerEnvelope
+from sardinemill.fleet.evidence import RIGHT_SECONDS, WORD_SECONDS
+from sardinemill.fleet.records import (
+    FleetRecord,
+    GroupRecord,
+    PositionSeen,
+    RecordConfirmed,
+)
+from sardinemill.fleet.state import FleetState, GroupProposed, Identity
+from sardinemill.fleet.store_messages import (
+    ConfigurationRead,
+    DirectoryRead,
+    ReadDirectory,
+    ReadRecord,
+    RecordRead,
+    RecordWritten,
+    StoreFailed,
+    StoreFault,
+    WatchConfiguration,
+    WriteRecord,
+)
+from sardinemill.groups import Address
+from sardinemill.positions import LogPosition
+from sardinemill.sessions.messages import DrainStarted
+from sardinemill.sessions.routes import RoutesChanged
+from session_builders import make_configuration, make_directory, select
+
+STEP_SECONDS = 0.05
+
+
+class Network:
+    """Instances, a store and the links between them, all without delay."""
+
+    def __init__(self, names="abcdef"):
+        self.now = 100.0
+        self.record, self.revision = FleetRecord(), 0
+        self.configuration = make_configuration()
+        self.store_cut = set()
+        self.peer_cut = set()
+        self.lost_answers = 0
+        self.n_calls = 0
+        self.writes = []
+        self.states = {}
+        self.confirmed = {}
+        self.versions = {}
+        self.positions = {}
+        for number, name in enumerate(names):
+            self.start(name, number)
+
+    def start(self, name, seed, incarnation="1"):
+        """Start an instance, or start it again."""
+        identity = Identity(
+            name=name,
+            data_centre="xyz"[ord(name) % 3],
+            address=Address("10.0.0.1", 7000),
+            incarnation=incarnation,
+        )
+        self.states[name] = FleetState(identity, SeededRandom(seed))
+        self.confirmed[name] = None
+        self.versions[name] = 0
+
+    def stop(self, name):
+        """Kill an instance."""
+        del self.states[name]
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + STEP_SECONDS, 3)
+            for name in list(self.states):
+                state = self.states[name]
+                if state.next_tick <= self.now:
+                    self.take(name, state.tick(self.now))
+
+    def hand(self, name, message):
+        """Give a message to an instance."""
+        if name in self.states:
+            self.take(name, self.states[name].handle(message, self.now))
+
+    def take(self, name, emissions):
+        """Carry out what an instance asks for."""
+        for item in emissions:
+            message = item.message
+            if item.outlet == "store":
+                self.call(name, message)
+            elif item.outlet == "peers":
+                if {name, message.peer} & self.peer_cut:
+                    continue
+                received = PeerEnvelope(peer=name, message=message.message)
+                self.hand(message.peer, received)
+            elif isinstance(message, RecordConfirmed):
+                self.confirmed[name] = message
+            elif isinstance(message, RoutesChanged):
+                assert message.table.version > self.versions[name]
+                self.versions[name] = message.table.version
+            elif isinstance(message, PositionSeen):
+                self.positions[name] = message
+
+    def call(self, name, request):
+        """Answer a call of the store."""
+        self.n_calls += 1
+        if name in self.store_cut:
+            failed = StoreFailed(request, StoreFault.NO_ANSWER, "cut")
+            self.hand(name, failed)
+        elif isinstance(request, ReadRecord):
+            self.hand(name, RecordRead(self.record, self.revision, self.now))
+        elif isinstance(request, ReadDirectory):
+            read = DirectoryRead(make_directory().directory, self.now)
+            self.hand(name, read)
+        elif isinstance(request, WatchConfiguration):
+            if request.revision != self.configuration.version:
+                read = ConfigurationRead(self.configuration, self.configuration.version)
+                self.hand(name, read)
+        elif isinstance(request, WriteRecord):
+            self.write(name, request)
+
+    def write(self, name, request):
+        """Replace the record under its condition."""
+        if request.revision != self.revision:
+            failed = StoreFailed(request, StoreFault.CONFLICT, "revision")
+            self.hand(name, failed)
+            return
+        self.record, self.revision = request.record, self.revision + 1
+        self.writes.append(request)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            failed = StoreFailed(request, StoreFault.NO_ANSWER, "lost")
+            self.hand(name, failed)
+            return
+        written = RecordWritten(self.record, self.revision, request.purpose)
+        self.hand(name, written)
+
+    @property
+    def coordinators(self):
+        """Names in the record."""
+        return [item.name for item in self.record.coordinators]
+
+    def find_age(self, name):
+        """Age of an instance's evidence."""
+        return self.now - self.confirmed[name].confirmed_at
+
+
+@pytest.fixture
+def network():
+    """Six instances after a calm start."""
+    started = Network()
+    started.run(5)
+    return started
+
+
+def test_three_coordinators_from_different_data_centres(network):
+    """Guards against coordinators that one cut takes away together."""
+    assert len(network.coordinators) == 3
+    places = {item.data_centre for item in network.record.coordinators}
+    assert len(places) == 3
+
+
+def test_everybody_has_fresh_evidence_at_few_store_calls(network):
+    """Guards against calls of the store that grow with the number of instances."""
+    network.n_calls = 0
+    network.run(10)
+    assert all(network.find_age(name) < RIGHT_SECONDS for name in network.states)
+    # Three coordinators read the record and the databases at their intervals.
+    assert network.n_calls <= 3 * (10 / 0.8 + 10 / 1.5 + 2)
+
+
+def test_new_configuration_reaches_everybody(network):
+    """Guards against instances that keep an old configuration."""
+    network.configuration = make_configuration(version=2)
+    for name in network.coordinators:
+        read = ConfigurationRead(network.configuration, 2)
+        network.hand(name, read)
+    network.run(1)
+    assert set(network.versions.values()) == {2}
+
+
+def test_configuration_reaches_coordinators_that_the_store_turns_away(network):
+    """Guards against a part of the fleet that the store turns away and nobody tells."""
+    network.store_cut = set(network.coordinators)
+    network.run(1)
+    (outside, *_) = [name for name in network.states if name not in network.store_cut]
+    network.configuration = make_configuration(version=2)
+    network.hand(outside, ConfigurationRead(network.configuration, 2))
+    network.run(1)
+    assert set(network.versions.values()) == {2}
+
+
+def test_silent_coordinator_is_replaced(network):
+    """Guards against a fleet whose coordinators die one after the other."""
+    gone = network.coordinators[0]
+    network.stop(gone)
+    network.run(4)
+    assert gone not in network.coordinators
+    assert len(network.coordinators) == 3
+
+
+def test_cut_off_instance_does_not_replace_the_coordinators(network):
+    """Guards against an instance that takes its own cut for the others' failure."""
+    (outside, *_) = [n for n in network.states if n not in network.coordinators]
+    before = network.coordinators
+    network.peer_cut = {outside}
+    network.run(4.5)
+    assert network.coordinators == before
+
+
+def test_all_coordinators_lost_at_once(network):
+    """Guards against a fleet that waits for coordinators which are gone."""
+    for name in network.coordinators:
+        network.stop(name)
+    network.run(8)
+    assert network.coordinators
+    assert set(network.coordinators) <= set(network.states)
+    assert all(network.find_age(name) < RIGHT_SECONDS for name in network.states)
+
+
+def test_words_bridge_an_outage_of_the_store(network):
+    """Guards against primaries that stand still while the store is away for seconds."""
+    network.store_cut = set(network.states)
+    network.run(WORD_SECONDS - 1.0)
+    assert all(network.find_age(name) < RIGHT_SECONDS for name in network.states)
+
+
+def test_words_end_with_a_long_outage(network):
+    """Guards against rights that outlive what the list of coordinators allows."""
+    network.store_cut = set(network.states)
+    network.run(WORD_SECONDS + RIGHT_SECONDS + 0.5)
+    assert all(network.find_age(name) > RIGHT_SECONDS for name in network.states)
+
+
+def test_cut_off_instance_loses_its_right(network):
+    """Guards against the use of a replaced primary behind a cut."""
+    (outside, *_) = [n for n in network.states if n not in network.coordinators]
+    network.peer_cut = {outside}
+    network.store_cut = {outside}
+    network.run(RIGHT_SECONDS + 1.0)
+    assert network.find_age(outside) > RIGHT_SECONDS
+
+
+def test_pending_write_ends_the_word_of_its_writer(network):
+    """Guards against a right that is renewed while a change is being written."""
+    writer = network.coordinators[0]
+    network.store_cut = set(network.states)
+    group = GroupRecord(group="g", primary="p")
+    network.hand(writer, GroupProposed(group, None))
+    network.run(RIGHT_SECONDS + 0.6)
+    others = [name for name in network.states if name != writer]
+    assert all(network.find_age(name) > RIGHT_SECONDS for name in others)
+
+
+def test_lost_answer_of_a_write_is_found_in_the_record(network):
+    """Guards against a change that took effect and is not known to its writer."""
+    writer = network.coordinators[0]
+    network.lost_answers = 1
+    network.hand(writer, GroupProposed(GroupRecord(group="g", primary="p"), None))
+    network.run(2)
+    assert network.confirmed[writer].record.find_group("g") is not None
+    assert sum(item.record.find_group("g") is not None for item in network.writes) == 1
+
+
+def test_restarted_coordinator_joins_again(network):
+    """Guards against the word of a process that has forgotten its writes."""
+    name = network.coordinators[0]
+    network.stop(name)
+    network.start(name, 77, incarnation="2")
+    network.run(3)
+    (entry,) = [item for item in network.record.coordinators if item.name == name]
+    assert entry.incarnation == "2"
+
+
+def test_leaving_coordinator_gives_its_place_away(network):
+    """Guards against a planned stop that is noticed only by silence."""
+    name = network.coordinators[0]
+    network.hand(name, DrainStarted(network.now + 3))
+    network.run(2)
+    assert name not in network.coordinators
+    assert len(network.coordinators) == 3
+
+
+def test_positions_travel_without_looking_younger(network):
+    """Guards against a floor that claims to cover more than it does."""
+    names = [n for n in network.states if n not in network.coordinators]
+    seen_at = network.now - 0.2
+    seen = PositionSeen("g", LogPosition(3, 7), seen_at)
+    network.hand(names[0], seen)
+    network.run(1.2)
+    learned = network.positions[names[1]]
+    assert learned.position == LogPosition(3, 7)
+    assert seen_at - 0.1 < learned.seen_at <= seen_at
+
+
+def test_older_configuration_is_never_adopted(network):
+    """Guards against a configuration that reverts."""
+    network.configuration = make_configuration(version=5)
+    for name in network.states:
+        network.hand(name, ConfigurationRead(network.configuration, 5))
+    for name in network.states:
+        network.hand(name, ConfigurationRead(make_configuration(version=3), 6))
+    assert set(network.versions.values()) == {5}
+
+
+def test_proposal_for_another_state_of_the_group_is_dropped(network):
+    """Guards against a change that overwrites one that it has not seen."""
+    writer = network.coordinators[0]
+    network.hand(writer, GroupProposed(GroupRecord(group="g", primary="p"), None))
+    network.run(1)
+    network.hand(writer, GroupProposed(GroupRecord(group="g", primary="q"), None))
+    network.run(1)
+    assert network.record.find_group("g").primary == "p"
+
+
+def test_states_emit_no_store_calls_of_their_own_kind_twice():
+    """Guards against calls that pile up while the store does not answer."""
+    state = Network("a").states["a"]
+    emissions = state.tick(200.0)
+    kinds = [type(item) for item in select(emissions, "store")]
+    assert len(kinds) == len(set(kinds))
--- /dev/null
+++ b/tests/test_fleet_tokens.py
@@ -0,0 +1,179 @@
+"""Lending and admission under the rate limit of a workspace: both bounds."""
+
+import pytest
+
+from sardinemill.control import PeerEnvelope
+from sardinemill.fleet.messages import TokenGrant, TokenRequest
+from sardinemill.fleet.state import CoordinatorsHeard
+from sardinemill.fleet.tokens import TokenLending
+from sardinemill.groups import rank_candidates
+from sardinemill.sessions.admission import GRANT_SECONDS, Admission
+from sardinemill.sessions.messages import StatementRequest, StatementResult
+from session_builders import (
+    BOOKINGS_ROUTE,
+    WRITE,
+    make_confirmed,
+    make_routes_changed,
+    make_statement_request,
+    select,
+)
+
+NAMES = ("a", "b", "c")
+# Stated by the platform: window, share and number by which a limit may be passed.
+WINDOW_SECONDS = 5.0
+OVERSHOOT = 0.1
+SLACK = 20
+
+
+class Fleet:
+    """Instances and their lenders, joined without delay."""
+
+    def __init__(self, n_instances=6, reachable=NAMES, rate=50.0, burst=50.0):
+        self.now = 100.0
+        self.rate, self.burst = rate, burst
+        self.lenders = {name: TokenLending(name) for name in NAMES}
+        self.instances = [Admission() for _ in range(n_instances)]
+        changed = make_routes_changed(rate=rate, burst=burst)
+        for lender in self.lenders.values():
+            lender.handle(changed, self.now)
+            lender.handle(make_confirmed(self.now), self.now)
+        for instance in self.instances:
+            instance.handle(changed, self.now)
+            instance.handle(CoordinatorsHeard(reachable, n_instances), self.now)
+        self.admitted = []
+        self.n_refused = 0
+        self._number = 0
+
+    def request(self, index):
+        """One operation at an instance."""
+        self._number += 1
+        request = make_statement_request(
+            self._number, WRITE, BOOKINGS_ROUTE, received_at=self.now
+        )
+        self._take(index, self.instances[index].handle(request, self.now))
+
+    def _take(self, index, emissions):
+        self.admitted += [self.now for _ in select(emissions, "next", StatementRequest)]
+        self.n_refused += len(select(emissions, "result", StatementResult))
+        for envelope in select(emissions, "peers", PeerEnvelope):
+            lender = self.lenders.get(envelope.peer)
+            if lender is None:
+                continue
+            asked = PeerEnvelope(peer=str(index), message=envelope.message)
+            for answer in select(lender.handle(asked, self.now), "peers"):
+                granted = PeerEnvelope(peer=envelope.peer, message=answer.message)
+                self._take(index, self.instances[index].handle(granted, self.now))
+
+    def run(self, seconds, per_second, weights=None):
+        """Offer operations evenly over time, to the instances by weight."""
+        weights = weights or [1] * len(self.instances)
+        order = [i for i, weight in enumerate(weights) for _ in range(weight)]
+        for number in range(int(seconds * per_second)):
+            self.now += 1 / per_second
+            for index, instance in enumerate(self.instances):
+                due = instance.next_tick
+                if due is not None and due <= self.now:
+                    self._take(index, instance.tick(self.now))
+            self.request(order[number % len(order)])
+
+    def find_busiest_window(self):
+        """Most operations admitted in one window."""
+        return max(
+            sum(start <= at <= start + WINDOW_SECONDS for at in self.admitted)
+            for start in self.admitted
+        )
+
+    @property
+    def limit(self):
+        """Operations that a window may hold."""
+        plan = self.rate * WINDOW_SECONDS + self.burst
+        return plan * (1 + OVERSHOOT) + SLACK
+
+
+@pytest.mark.parametrize("weights", [None, [20, 1, 1, 1, 1, 1], [1, 0, 0, 0, 0, 0]])
+def test_load_within_the_plan_is_admitted_from_the_first_second(weights):
+    """Guards against refusals below the plan, however uneven the instances' load."""
+    fleet = Fleet()
+    fleet.run(10, 30, weights)
+    assert len(fleet.admitted) >= 0.99 * 300
+
+
+@pytest.mark.parametrize("weights", [None, [20, 1, 1, 1, 1, 1]])
+def test_load_far_above_the_plan_gets_the_plan_and_no_more(weights):
+    """Guards against both a workspace above its plan and one that is starved by its
+    own surge.
+    """
+    fleet = Fleet()
+    fleet.run(12, 375, weights)
+    assert fleet.find_busiest_window() <= fleet.limit
+    assert len(fleet.admitted) >= 0.95 * fleet.rate * 12
+
+
+def test_small_plan_gets_nearly_all_that_one_bucket_would_admit():
+    """Guards against a small workspace that is starved by shares."""
+    fleet = Fleet(n_instances=19, rate=1.0, burst=10.0)
+    fleet.run(30, 4)
+    assert 0.9 * 30 <= len(fleet.admitted) <= 1.0 * 30 + 10
+
+
+def test_partition_between_two_lenders_stays_within_the_tolerance():
+    """Guards against two lenders that each lend the whole rate."""
+    fleet = Fleet()
+    first = rank_candidates("hives", NAMES)[0]
+    others = tuple(name for name in NAMES if name != first)
+    fleet.run(6, 375)
+    for instance in fleet.instances[3:]:
+        instance.handle(CoordinatorsHeard(others, 6), fleet.now)
+    fleet.run(6, 375)
+    assert fleet.find_busiest_window() <= fleet.limit
+
+
+def test_instances_without_a_lender_stay_within_the_tolerance():
+    """Guards against cut-off instances that together pass the limit."""
+    fleet = Fleet()
+    fleet.run(6, 375)
+    for instance in fleet.instances[3:]:
+        instance.handle(CoordinatorsHeard((), 6), fleet.now)
+    n_before = len(fleet.admitted)
+    fleet.run(6, 375)
+    assert fleet.find_busiest_window() <= fleet.limit
+    assert len(fleet.admitted) > n_before
+
+
+def test_lost_grant_is_not_waited_for_long():
+    """Guards against operations that wait for a lender that is gone."""
+    admission = Admission()
+    admission.handle(make_routes_changed(), 100.0)
+    admission.handle(CoordinatorsHeard(NAMES, 3), 100.0)
+    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE)
+    emissions = admission.handle(request, 100.0)
+    (envelope,) = select(emissions, "peers", PeerEnvelope)
+    assert isinstance(envelope.message, TokenRequest)
+    assert select(admission.tick(100.0 + GRANT_SECONDS), "next") == [request]
+
+
+def test_late_grant_counts_for_nothing():
+    """Guards against tokens that are spent twice."""
+    admission = Admission()
+    admission.handle(make_routes_changed(), 100.0)
+    admission.handle(CoordinatorsHeard(NAMES, 3), 100.0)
+    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE)
+    (envelope,) = select(admission.handle(request, 100.0), "peers", PeerEnvelope)
+    admission.tick(100.0 + GRANT_SECONDS)
+    grant = TokenGrant(number=envelope.message.number, workspace="hives", n_tokens=9)
+    late = PeerEnvelope(peer=envelope.peer, message=grant)
+    assert admission.handle(late, 101.0) == []
+
+
+def test_lower_limit_binds_at_once():
+    """Guards against a plan that was lowered and is still spent from the old burst."""
+    fleet = Fleet()
+    fleet.run(3, 40)
+    changed = make_routes_changed(version=2, rate=5.0, burst=5.0)
+    for part in (*fleet.lenders.values(), *fleet.instances):
+        part.handle(changed, fleet.now)
+    fleet.now += 1.5
+    n_before = len(fleet.admitted)
+    fleet.run(5, 40)
+    allowed = (5.0 * WINDOW_SECONDS + 5.0) * (1 + OVERSHOOT) + SLACK
+    assert len(fleet.admitted) - n_before <= allowed
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,39 @@
+"""The platform's settings file."""
+
+import pytest
+
+from sardinemill.errors import SettingsError
+from sardinemill.groups import Address
+from sardinemill.platform.settings import parse_platform_settings
+
+TEXT = """node=front-x-1
+zone=x
+ip=10.1.0.26
+listen.front=10.1.0.26:8465
+listen.ready=10.1.0.26:8460
+internal_ports=7560,7575
+platform.address=10.200.1.7:8466
+cloud.address=10.200.0.2:8466
+bounds.grace_s=6
+a.new.field=of a later version
+"""
+
+
+def test_settings():
+    """Guards against fields that are read under another meaning."""
+    settings = parse_platform_settings(TEXT)
+    assert (settings.instance, settings.data_centre) == ("front-x-1", "x")
+    assert settings.peer_address == Address("10.1.0.26", 7560)
+    assert settings.store_address == Address("10.200.1.7", 8466)
+    assert settings.stop_seconds == 6.0
+
+
+def test_all_faults_at_once():
+    """Guards against an operator who has to start again for each fault."""
+    text = TEXT.replace("zone=x", "").replace("10.1.0.26:8460", "here")
+    with pytest.raises(SettingsError) as caught:
+        parse_platform_settings(text)
+    assert caught.value.message.splitlines() == [
+        "zone: missing",
+        "listen.ready=here: not an IP address and port",
+    ]
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,127 @@
+"""Lines of the wire: what is understood, and that nothing malformed gets through."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sardinemill.errors import CodecError
+from sardinemill.platform.wire import (
+    MAX_LINE_BYTES,
+    format_after,
+    format_statement,
+    name_prepared,
+    parse_position,
+    parse_statement,
+    read_line,
+)
+from sardinemill.positions import LogPosition
+from sardinemill.sessions.messages import PreparedStatement, StatementKind
+
+TEXTS = [
+    "BEGIN",
+    "BEGIN READ",
+    "COMMIT",
+    "ROLLBACK",
+    "READ 1a4",
+    "WRITE 1a4 xkqpwnzd",
+    "SET zone a b",
+    "PREPARE s1 WRITE q2c",
+    "EXECUTE s1 1a4",
+    "EXECUTE s1 1a4 xkqpwnzd",
+    "DEALLOCATE s1",
+]
+
+
+def read(data, limit=MAX_LINE_BYTES):
+    """Read one line from bytes."""
+
+    async def run():
+        reader = asyncio.StreamReader(limit=limit)
+        reader.feed_data(data)
+        reader.feed_eof()
+        return await read_line(reader, "peer")
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("text", TEXTS)
+def test_statements_keep_their_text(text):
+    """Guards against a database that runs a changed statement."""
+    statement = parse_statement(text)
+    assert statement.kind is not StatementKind.INVALID
+    assert format_statement(statement) == text
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "BEGIN WRITE",
+        "READ",
+        "WRITE 1a4",
+        "PREPARE s1 q2c",
+        "EXECUTE s1",
+        "STATUS",
+        "DEMOTE 9",
+        "AFTER 3.1 READ 1a4",
+        "COMMIT now",
+        "read 1a4",
+        " READ 1a4",
+    ],
+)
+def test_other_texts_are_invalid(text):
+    """Guards against orders of clients to databases, and against guesses."""
+    assert parse_statement(text).kind is StatementKind.INVALID
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.text())
+def test_any_text_is_kept_or_invalid(text):
+    """Guards against a text that is changed on its way."""
+    statement = parse_statement(text)
+    if statement.kind is not StatementKind.INVALID:
+        assert format_statement(statement) == text
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=200))
+def test_any_bytes_give_a_line_or_a_clear_error(data):
+    """Guards against input that ends a task with an unexpected error."""
+    try:
+        line = read(data)
+    except CodecError:
+        return
+    if line is not None:
+        assert b"\r\n" in data
+
+
+def test_overlong_line_is_an_error():
+    """Guards against memory that a client can fill."""
+    with pytest.raises(CodecError):
+        read(b"QUERY " + b"x" * 5000 + b"\r\n", limit=1000)
+
+
+def test_half_a_line_is_the_end():
+    """Guards against a statement that is cut off and run all the same."""
+    assert read(b"QUERY 1 WRITE 1a4 da") is None
+
+
+def test_equal_definitions_share_a_name_and_others_do_not():
+    """Guards against a prepared name that runs another shape."""
+    names = {
+        name_prepared(PreparedStatement(shape, is_read_only))
+        for shape in ("q2c", "q2d")
+        for is_read_only in (True, False)
+    }
+    assert len(names) == 4
+
+
+def test_positions():
+    """Guards against a malformed position that counts as one."""
+    assert parse_position("3.1207") == LogPosition(3, 1207)
+    assert [parse_position(text) for text in ("-", "", "3", "3.x", "-1.2")] == [
+        None
+    ] * 5
+    assert format_after(LogPosition(3, 7)) == "AFTER 3.7 "
--- /dev/null
+++ b/tests/test_sessions_conversations.py
@@ -0,0 +1,255 @@
+"""Sessions: values, prepared statements, transactions and what clients are told."""
+
+import pytest
+
+from sardinemill.positions import LogPosition
+from sardinemill.sessions.conversations import Conversations
+from sardinemill.sessions.messages import (
+    DrainStarted,
+    Effect,
+    ErrorCode,
+    SessionAccepted,
+    SessionClosed,
+    SessionOpened,
+    SessionRefused,
+    SessionState,
+    Statement,
+    StatementAnswered,
+    StatementKind,
+    StatementReceived,
+    StatementRequest,
+    StatementResult,
+    TransactionAbandoned,
+    TransactionStep,
+)
+from session_builders import (
+    BEGIN,
+    BEGIN_READ,
+    COMMIT,
+    KEY,
+    READ,
+    ROLLBACK,
+    STATUS_ROUTE,
+    WRITE,
+    make_routes_changed,
+    select,
+)
+
+NOW = 100.0
+
+
+def open_session(database="bookings", key=KEY, number=1, **fields):
+    """Conversations with one session."""
+    conversations = Conversations()
+    conversations.handle(make_routes_changed(**fields), NOW)
+    emissions = conversations.handle(SessionOpened(number, database, key), NOW)
+    assert select(emissions, "client", SessionAccepted)
+    return conversations
+
+
+def send(conversations, statement, number=1, now=NOW):
+    """Hand in a statement.
+
+    :returns: the emissions.
+    """
+    received = StatementReceived(number, "5c0e7a21d94b36f8", statement)
+    return conversations.handle(received, now)
+
+
+def request_of(emissions):
+    """The one request that was passed on."""
+    (request,) = select(emissions, "next", StatementRequest)
+    return request
+
+
+def answer_of(emissions):
+    """The one answer to the client."""
+    (answer,) = select(emissions, "client", StatementAnswered)
+    return answer
+
+
+def succeed(conversations, request, now=NOW, position=None):
+    """Let a request succeed.
+
+    :returns: the answer to the client.
+    """
+    result = StatementResult(
+        request=request,
+        database="p",
+        rows=("row",),
+        signature="7.1f3",
+        position=position,
+        is_answered=True,
+    )
+    return answer_of(conversations.handle(result, now))
+
+
+@pytest.mark.parametrize(
+    ("database", "key", "code"),
+    [
+        ("nowhere", KEY, ErrorCode.NO_DATABASE),
+        ("bookings", "stolen", ErrorCode.ACCESS_DENIED),
+        ("bookings", "", ErrorCode.ACCESS_DENIED),
+    ],
+)
+def test_session_needs_a_route_and_a_key(database, key, code):
+    """Guards against sessions for foreign databases or with unknown keys."""
+    conversations = Conversations()
+    conversations.handle(make_routes_changed(), NOW)
+    emissions = conversations.handle(SessionOpened(1, database, key), NOW)
+    (refused,) = select(emissions, "client", SessionRefused)
+    assert refused.code is code
+
+
+def test_withdrawn_key_ends_an_open_session():
+    """Guards against a withdrawn key that works while its caller stays connected."""
+    conversations = open_session()
+    conversations.handle(make_routes_changed(version=2, keys=()), NOW)
+    assert answer_of(send(conversations, READ)).code is ErrorCode.ACCESS_DENIED
+
+
+def test_withdrawn_key_ends_an_open_transaction():
+    """Guards against a transaction that goes on under a withdrawn key."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    conversations.handle(make_routes_changed(version=2, keys=()), NOW)
+    emissions = send(conversations, WRITE)
+    assert answer_of(emissions).code is ErrorCode.ACCESS_DENIED
+    assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
+
+
+def test_removed_route_serves_the_transaction_that_began_on_it():
+    """Guards against a change of routes that cuts an open transaction."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    conversations.handle(make_routes_changed(version=2, routes=(STATUS_ROUTE,)), NOW)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    succeed(conversations, request_of(send(conversations, COMMIT)))
+    assert answer_of(send(conversations, READ)).code is ErrorCode.NO_DATABASE
+
+
+def test_first_statement_begins_the_transaction():
+    """Guards against a transaction that is begun twice or not at all."""
+    conversations = open_session()
+    assert answer_of(send(conversations, BEGIN)).state is SessionState.IN_TRANSACTION
+    first = request_of(send(conversations, READ))
+    assert (first.step, first.is_read_only) == (TransactionStep.FIRST, False)
+    succeed(conversations, first)
+    later = request_of(send(conversations, WRITE))
+    assert later.step is TransactionStep.LATER
+    assert succeed(conversations, later).state is SessionState.IN_TRANSACTION
+    commit = request_of(send(conversations, COMMIT))
+    assert succeed(conversations, commit).state is SessionState.IDLE
+
+
+def test_only_the_start_of_an_operation_counts():
+    """Guards against a rate limit that counts each statement of a transaction."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    first = request_of(send(conversations, WRITE))
+    succeed(conversations, first)
+    later = request_of(send(conversations, WRITE))
+    assert (first.starts_operation, later.starts_operation) == (True, False)
+
+
+def test_failed_transaction_answers_only_its_end():
+    """Guards against a statement that runs outside of its failed transaction."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    request = request_of(send(conversations, WRITE))
+    failed = StatementResult(
+        request=request, code=ErrorCode.READ_ONLY, is_answered=True
+    )
+    emissions = conversations.handle(failed, NOW)
+    assert answer_of(emissions).state is SessionState.FAILED_TRANSACTION
+    assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
+    assert answer_of(send(conversations, READ)).code is ErrorCode.MALFORMED
+    commit = answer_of(send(conversations, COMMIT))
+    assert (commit.code, commit.state) == (ErrorCode.ABORTED, SessionState.IDLE)
+
+
+@pytest.mark.parametrize(
+    ("statement", "step", "code"),
+    [
+        (WRITE, TransactionStep.NONE, ErrorCode.IN_DOUBT),
+        (COMMIT, TransactionStep.COMMIT, ErrorCode.IN_DOUBT),
+        (WRITE, TransactionStep.FIRST, ErrorCode.ABORTED),
+        (READ, TransactionStep.NONE, ErrorCode.BUSY),
+    ],
+)
+def test_lost_answer_promises_only_what_is_certain(statement, step, code):
+    """Guards against the word "not run" for a write that may have taken effect."""
+    conversations = open_session()
+    if step is not TransactionStep.NONE:
+        send(conversations, BEGIN)
+    if step is TransactionStep.COMMIT:
+        succeed(conversations, request_of(send(conversations, WRITE)))
+    request = request_of(send(conversations, statement))
+    is_write = not request.is_read_only
+    ends = step in (TransactionStep.NONE, TransactionStep.COMMIT)
+    effect = Effect.UNKNOWN if is_write and ends else Effect.ROLLED_BACK
+    lost = StatementResult(request=request, effect=effect)
+    assert answer_of(conversations.handle(lost, NOW)).code is code
+
+
+def test_commit_of_a_read_only_transaction_is_never_in_doubt():
+    """Guards against an alarm about a write where there was none."""
+    conversations = open_session("status")
+    send(conversations, BEGIN_READ)
+    succeed(conversations, request_of(send(conversations, READ)))
+    request = request_of(send(conversations, COMMIT))
+    lost = StatementResult(request=request, effect=Effect.ROLLED_BACK)
+    assert answer_of(conversations.handle(lost, NOW)).code is ErrorCode.ABORTED
+
+
+def test_own_write_is_the_floor_of_later_reads():
+    """Guards against a session that does not read its own write."""
+    conversations = open_session("logs")
+    request = request_of(send(conversations, WRITE))
+    succeed(conversations, request, position=LogPosition(3, 9))
+    assert request_of(send(conversations, READ)).floor == LogPosition(3, 9)
+
+
+def test_prepared_statements_belong_to_their_session():
+    """Guards against a name that runs another session's shape."""
+    conversations = open_session()
+    conversations.handle(SessionOpened(2, "bookings", KEY), NOW)
+    prepare = Statement(StatementKind.PREPARE, "s1", "q2c", True)
+    send(conversations, prepare)
+    execute = Statement(StatementKind.EXECUTE, "s1", "1a4")
+    request = request_of(send(conversations, execute))
+    assert (request.prepared.shape, request.is_read_only) == ("q2c", True)
+    foreign = answer_of(send(conversations, execute, number=2))
+    assert foreign.code is ErrorCode.UNKNOWN_STATEMENT
+
+
+def test_idle_transaction_is_rolled_back_without_a_message():
+    """Guards against a message to a client that has asked nothing."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    emissions = conversations.tick(NOW + 3.1)
+    assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
+    assert select(emissions, "client") == []
+    assert answer_of(send(conversations, ROLLBACK)).state is SessionState.IDLE
+
+
+def test_drain_lets_transactions_end_by_themselves_first():
+    """Guards against a planned stop that cuts a transaction at once."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    conversations.handle(DrainStarted(NOW + 2.0), NOW)
+    assert select(conversations.tick(NOW + 1.9), "abandoned") == []
+    assert select(conversations.tick(NOW + 2.5), "abandoned")
+
+
+def test_client_that_leaves_gives_up_its_transaction():
+    """Guards against a connection that a client holds after it has left."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    emissions = conversations.handle(SessionClosed(1), NOW)
+    assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
