Read the configuration at intervals instead of watching it

A watch that waits proves nothing.

Change: the first coordinator reads the configuration every 1.2 s, the others when they have not learned from it in time; its answers carry the age of that check.

--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -65,6 +65,7 @@
     :param record_age_seconds: since the sender read the record from the store.
     :param record: left out when the asker has that revision.
     :param has_pending_write: a write of the record by the sender may take effect.
+    :param configuration_age_seconds: since the configuration was known to be current.
     :param directory_age_seconds: since the sender read the directory.
     :param n_instances: instances that the sender hears from, itself included.
     """
@@ -79,6 +80,7 @@
     directory: Directory | None = None
     directory_age_seconds: float = 0.0
     configuration_version: int = 0
+    configuration_age_seconds: float = 0.0
     positions: tuple[PositionReport, ...] = ()
     n_instances: int = 1
 
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -38,6 +38,7 @@
 from .store_messages import (
     ConfigurationRead,
     DirectoryRead,
+    ReadConfiguration,
     ReadDirectory,
     ReadRecord,
     RecordRead,
@@ -45,7 +46,6 @@
     StoreFailed,
     StoreFault,
     StoreRequest,
-    WatchConfiguration,
     WriteRecord,
 )
 
@@ -55,6 +55,13 @@
 # A coordinator's view is at most this much older than the store's.
 READ_SECONDS = 0.8
 DIRECTORY_SECONDS = 1.5
+# Watches of the store may hear nothing for seconds, so the configuration is read. A
+# change has to be in force everywhere within 3 s; the next coordinator still makes it
+# when the first one dies.
+CHECK_SECONDS = 1.2
+CHECK_DELAY_SECONDS = 0.3
+# Ages in messages; what was never seen has this one.
+MAX_AGE_SECONDS = 1e9
 # Without an answer for this time an instance reads the store itself.
 LONELY_SECONDS = 1.2
 # A coordinator that is silent for this time is replaced.
@@ -151,11 +158,13 @@
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
         self._configuration = Configuration()
-        self._configuration_revision = 0
+        self._configuration_checked_at = NEVER
         self._directory = Directory()
         self._digest = ""
         self._directory_read_at = NEVER
-        self._polls = {kind: _Poll() for kind in ("record", "directory", "watch")}
+        self._polls = {
+            kind: _Poll() for kind in ("record", "directory", "configuration")
+        }
         self._write: WriteRecord | None = None
         self._write_retry_at = NEVER
         self._words: dict[str, CoordinatorWord] = {}
@@ -219,11 +228,10 @@
             self._end_poll("directory", now, DIRECTORY_SECONDS)
             emissions += self._adopt_directory(message.directory, message.asked_at)
         elif isinstance(message, ConfigurationRead):
-            self._configuration_revision = message.revision
-            delay = 0.0 if message.revision else READ_SECONDS
-            self._end_poll("watch", now, delay)
+            self._end_poll("configuration", now, 0.0)
             if message.configuration is not None:
                 emissions += self._adopt_configuration(message.configuration)
+                self._note_check(message.configuration.version, message.asked_at)
         return emissions
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -257,16 +265,39 @@
         requests: tuple[tuple[str, StoreRequest], ...] = (
             ("record", ReadRecord()),
             ("directory", ReadDirectory()),
-            ("watch", WatchConfiguration(self._configuration_revision)),
+            ("configuration", ReadConfiguration()),
         )
         emissions = []
         for kind, request in requests:
             poll = self._polls[kind]
-            if not poll.is_running and now >= poll.due_at:
+            due_at = poll.due_at
+            if kind == "configuration":
+                due_at = max(due_at, self._find_check_time())
+            if not poll.is_running and now >= due_at:
                 poll.is_running = True
                 emissions.append(Emission("store", request))
         return emissions
 
+    def _find_check_time(self) -> float:
+        """When this instance has to look whether the configuration is current.
+
+        The first coordinator looks, and the others learn it from its answers.
+        """
+        rank = self._find_rank() or 0
+        wait = CHECK_SECONDS + rank * CHECK_DELAY_SECONDS
+        return self._configuration_checked_at + wait
+
+    def _note_check(self, version: int, at: float) -> None:
+        if version == self._configuration.version:
+            self._configuration_checked_at = max(self._configuration_checked_at, at)
+
+    def _find_rank(self) -> int | None:
+        """Place among the coordinators, ``None`` if it is none."""
+        if not self._is_coordinator():
+            return None
+        names = [item.name for item in self._record.coordinators]
+        return names.index(self._identity.name)
+
     def _end_poll(self, kind: str, now: float, delay: float) -> None:
         poll = self._polls[kind]
         poll.is_running = False
@@ -294,13 +325,10 @@
         if isinstance(message.request, WriteRecord):
             return emissions + self._take_write_failure(message, now)
         kinds = {ReadRecord: "record", ReadDirectory: "directory"}
-        poll = self._polls[kinds.get(type(message.request), "watch")]
+        poll = self._polls[kinds.get(type(message.request), "configuration")]
         poll.is_running = False
         poll.n_failures += 1
         poll.due_at = now + self._choose_retry_wait(poll.n_failures)
-        if isinstance(message.request, WatchConfiguration):
-            # The history after that revision may be gone, so the next call reads.
-            self._configuration_revision = 0
         return emissions
 
     def _choose_retry_wait(self, n_failures: int) -> float:
@@ -537,7 +565,7 @@
                 group=item.group,
                 term=item.position.term,
                 offset=item.position.offset,
-                age_seconds=round(now - item.seen_at + 0.0005, 3),
+                age_seconds=_find_age(item.seen_at, now),
             )
             for item in self._positions.values()
         )
@@ -627,21 +655,18 @@
             number=question.number,
             incarnation=self._identity.incarnation,
             record_revision=self._revision,
-            record_age_seconds=round(now - self._confirmed_by_store_at + 0.0005, 3)
-            if self._confirmed_by_store_at > NEVER
-            else 1e9,
+            record_age_seconds=_find_age(self._confirmed_by_store_at, now),
             has_pending_write=self._write is not None,
             record=self._record if question.record_revision < self._revision else None,
             configuration=self._configuration
             if question.configuration_version < self._configuration.version
             else None,
             configuration_version=self._configuration.version,
+            configuration_age_seconds=_find_age(self._configuration_checked_at, now),
             directory=self._directory
             if question.directory_digest != self._digest
             else None,
-            directory_age_seconds=round(now - self._directory_read_at + 0.0005, 3)
-            if self._directory_read_at > NEVER
-            else 1e9,
+            directory_age_seconds=_find_age(self._directory_read_at, now),
             positions=self._make_position_reports(now),
             n_instances=self._count_members(now),
         )
@@ -687,6 +712,8 @@
             emissions += self._confirm_by_words(now)
         if answer.configuration is not None:
             emissions += self._adopt_configuration(answer.configuration)
+        checked_at = asked_at - answer.configuration_age_seconds
+        self._note_check(answer.configuration_version, checked_at)
         if answer.directory is not None:
             read_at = asked_at - answer.directory_age_seconds
             emissions += self._adopt_directory(answer.directory, read_at)
@@ -739,7 +766,7 @@
     def _tell_coordination(self, now: float) -> list[Emission]:
         emissions = []
         names = [item.name for item in self._record.coordinators]
-        rank = names.index(self._identity.name) if self._is_coordinator() else None
+        rank = self._find_rank()
         may_change_at = (self._joined_at or now) + JOIN_SECONDS
         if self._is_leaving:
             rank = None
@@ -762,6 +789,11 @@
         return emissions
 
 
+def _find_age(at: float, now: float) -> float:
+    """Age for a message, rounded up to its resolution."""
+    return min(round(now - at + 0.0005, 3), MAX_AGE_SECONDS)
+
+
 def make_digest(directory: Directory) -> str:
     """Short text that differs between different directories."""
     return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(directory))
--- a/src/sardinemill/fleet/store_messages.py
+++ b/src/sardinemill/fleet/store_messages.py
@@ -18,13 +18,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WatchConfiguration:
-    """Read the configuration once its version differs from the one given.
-
-    :param revision: store revision last seen, 0 to read at once.
-    """
-
-    revision: int
+class ReadConfiguration:
+    """Read the configuration."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +35,7 @@
     purpose: str
 
 
-StoreRequest = ReadRecord | ReadDirectory | WatchConfiguration | WriteRecord
+StoreRequest = ReadRecord | ReadDirectory | ReadConfiguration | WriteRecord
 
 
 class StoreFault(StrEnum):
@@ -73,10 +68,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """The configuration, ``None`` when it has not changed or cannot be decoded."""
+    """The configuration at some moment after ``asked_at``.
+
+    :param configuration: ``None`` when there is none or it cannot be decoded.
+    """
 
     configuration: Configuration | None
-    revision: int
+    asked_at: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/platform/store.py
+++ b/src/sardinemill/platform/store.py
@@ -21,21 +21,17 @@
     StoreFailed,
     StoreFault,
     StoreRequest,
-    WatchConfiguration,
     WriteRecord,
 )
 from ..groups import Address
 from ..interfaces import Clock, Outlet
+from ..sessions.routes import Configuration
 from .documents import decode_configuration, decode_directory
 from .sockets import keep_alive
 
 # A slow store takes about a quarter of a second for an answer.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 0.7
-# Below the store's limit of 30 s; each return costs one call.
-WATCH_SECONDS = 20.0
-# Time beyond the wait of a watch after which its connection counts as silent.
-WATCH_GRACE_SECONDS = 2.0
 
 RECORD_KIND = "sardinemill-fleet"
 RECORD_NAME = "main"
@@ -119,29 +115,16 @@
                 return found
             after = page[-1].name
 
-    async def watch(self, kind: str, revision: int) -> int:
-        """Wait for a change of a kind after a revision.
-
-        :returns: the revision to continue from.
-        :raises StoreUnavailable: also when the history of that revision is gone.
-        """
-        query = {"watch": str(revision), "wait_ms": str(int(WATCH_SECONDS * 1000))}
-        timeout = WATCH_SECONDS + WATCH_GRACE_SECONDS
-        answer = await self._call("GET", kind, query=query, timeout_seconds=timeout)
-        return _take_revision(answer.get("store_revision"))
-
     async def _call(
         self,
         method: str,
         path: str,
         body: object = None,
-        *,
         query: Mapping[str, str] | None = None,
-        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Mapping[str, object]:
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(
-            total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+            total=CALL_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
         try:
             async with self._session.request(
@@ -252,24 +235,18 @@
                 RECORD_KIND, RECORD_NAME, content, request.revision
             )
             return RecordWritten(request.record, revision, request.purpose)
-        return await self._watch_configuration(request)
-
-    async def _watch_configuration(
-        self, request: WatchConfiguration
-    ) -> ConfigurationRead:
-        revision = request.revision
-        if revision:
-            revision = await self._store.watch(CONFIGURATION_KIND, revision)
         found = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        return ConfigurationRead(self._decode_configuration(found), asked_at)
+
+    def _decode_configuration(self, found: PlatformObject) -> Configuration | None:
         if not found.revision:
-            return ConfigurationRead(None, 0)
+            return None
         try:
-            configuration = decode_configuration(found.content)
+            return decode_configuration(found.content)
         except ConfigurationError as error:
             fields = {"reason": error.message, "revision": found.revision}
             self._events.offer(Event(EventName.CONFIGURATION_REJECTED, fields))
-            return ConfigurationRead(None, found.revision)
-        return ConfigurationRead(configuration, max(revision, found.revision))
+            return None
 
 
 def _decode_record(found: PlatformObject) -> FleetRecord:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -15,13 +15,13 @@
 from sardinemill.fleet.store_messages import (
     ConfigurationRead,
     DirectoryRead,
+    ReadConfiguration,
     ReadDirectory,
     ReadRecord,
     RecordRead,
     RecordWritten,
     StoreFailed,
     StoreFault,
-    WatchConfiguration,
     WriteRecord,
 )
 from sardinemill.groups import Address
@@ -113,10 +113,8 @@
         elif isinstance(request, ReadDirectory):
             read = DirectoryRead(make_directory().directory, self.now)
             self.hand(name, read)
-        elif isinstance(request, WatchConfiguration):
-            if request.revision != self.configuration.version:
-                read = ConfigurationRead(self.configuration, self.configuration.version)
-                self.hand(name, read)
+        elif isinstance(request, ReadConfiguration):
+            self.hand(name, ConfigurationRead(self.configuration, self.now))
         elif isinstance(request, WriteRecord):
             self.write(name, request)
 
@@ -166,27 +164,34 @@
     network.n_calls = 0
     network.run(10)
     assert all(network.find_age(name) < RIGHT_SECONDS for name in network.states)
-    # Three coordinators read the record and the databases at their intervals.
-    assert network.n_calls <= 3 * (10 / 0.8 + 10 / 1.5 + 2)
+    # Three coordinators read the record and the databases, one the configuration.
+    assert network.n_calls <= 3 * (10 / 0.8 + 10 / 1.5 + 2) + 10 / 1.2 + 2
 
 
 def test_new_configuration_reaches_everybody(network):
     """Guards against instances that keep an old configuration."""
     network.configuration = make_configuration(version=2)
-    for name in network.coordinators:
-        read = ConfigurationRead(network.configuration, 2)
-        network.hand(name, read)
-    network.run(1)
+    network.run(2)
     assert set(network.versions.values()) == {2}
 
 
+def test_new_configuration_is_in_force_in_time_though_the_first_coordinator_dies(
+    network,
+):
+    """Guards against a configuration that one coordinator's death holds up."""
+    network.configuration = make_configuration(version=2)
+    network.stop(network.coordinators[0])
+    network.run(2.7)
+    assert {network.versions[name] for name in network.states} == {2}
+
+
 def test_configuration_reaches_coordinators_that_the_store_turns_away(network):
     """Guards against a part of the fleet that the store turns away and nobody tells."""
     network.store_cut = set(network.coordinators)
     network.run(1)
     (outside, *_) = [name for name in network.states if name not in network.store_cut]
     network.configuration = make_configuration(version=2)
-    network.hand(outside, ConfigurationRead(network.configuration, 2))
+    network.hand(outside, ConfigurationRead(network.configuration, network.now))
     network.run(1)
     assert set(network.versions.values()) == {2}
 
@@ -298,9 +303,10 @@
     """Guards against a configuration that reverts."""
     network.configuration = make_configuration(version=5)
     for name in network.states:
-        network.hand(name, ConfigurationRead(network.configuration, 5))
+        network.hand(name, ConfigurationRead(network.configuration, network.now))
     for name in network.states:
-        network.hand(name, ConfigurationRead(make_configuration(version=3), 6))
+        read = ConfigurationRead(make_configuration(version=3), network.now)
+        network.hand(name, read)
     assert set(network.versions.values()) == {5}
 
 
