Check by age what the store holds; keep rights over changes of the record

Answers now carry the age of each part, and whoever learns nothing young enough reads by itself. - 260 refusals with evidence of age 999: each change of the record dropped the evidence. Evidence of an older revision holds for a newer one too. - 4,830 refusals for 20 s: the holder of a change lost power with all others, the new coordinators waited 9.6 s and for the holder. A process in its predecessor's place is established at once; a holder whose process ended is followed after 1.5 s. - 2,658 refusals by rate limit: operations that found no primary used up the plan. What did not run gives its token back.

Ruled out: no gap by the rolling stop itself (one instance at a time, drained).

--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -38,8 +38,9 @@
 HOLD_SECONDS = 6.0
 # Another coordinator takes over after this time; longer than the holder may act.
 TAKEOVER_SECONDS = HOLD_SECONDS + 2.0
-# The holder itself tries again sooner.
-RETRY_SECONDS = 1.0
+# A holder that abandoned its change tries again sooner, as does another coordinator
+# once the holder's process has ended; a call of it may still be on its way.
+RETRY_SECONDS = 1.5
 # Replicas are asked again at this interval.
 MEASURE_SECONDS = 0.25
 # Answers of replicas are waited for this long before the best of them is chosen.
@@ -178,7 +179,7 @@
         self._confirmed_at = NEVER
         self._directory = Directory()
         self._rank: int | None = None
-        self._may_change_at = 0.0
+        self._is_established = False
         self._alive_at: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
         self._groups: dict[str, _Group] = {}
@@ -198,7 +199,7 @@
             self._directory = message.directory
         elif isinstance(message, CoordinationChanged):
             self._rank = message.rank
-            self._may_change_at = message.may_change_at
+            self._is_established = message.is_established
         elif isinstance(message, DatabaseContact):
             self._note_contact(message.database, message.is_alive, message.at)
         elif isinstance(message, DatabaseStatus):
@@ -311,7 +312,7 @@
     def _propose_change(
         self, record: GroupRecord, state: _Group, reason: str, now: float
     ) -> list[Emission]:
-        if now < self._may_change_at or now - state.proposed_at < 1.0:
+        if not self._is_established or now - state.proposed_at < 1.0:
             return []
         state.proposed_at = now
         marked = replace(record, phase=GroupPhase.CHANGING)
@@ -343,12 +344,12 @@
         if state.changing_since is None or state.changing_key != key:
             state.changing_since = now
             state.changing_key = key
-        if record.group in self._changes or now < self._may_change_at:
+        if record.group in self._changes or not self._is_established:
             return []
         assert self._rank is not None
         wait = TAKEOVER_SECONDS + self._rank * RANK_DELAY_SECONDS
-        if self._record.holder == self._instance:
-            wait = RETRY_SECONDS
+        if self._is_holder_gone():
+            wait = RETRY_SECONDS + self._rank * RANK_DELAY_SECONDS
         if now - state.changing_since < wait or now - state.proposed_at < 1.0:
             return []
         state.proposed_at = now
@@ -367,6 +368,14 @@
             Emission("events", Event(EventName.CHANGE_STARTED, fields)),
         ]
 
+    def _is_holder_gone(self) -> bool:
+        """Tell whether the holder's process has ended, or is this one."""
+        holder = self._record.find_coordinator(self._record.holder)
+        if self._record.holder == self._instance:
+            return True
+        incarnation = self._record.holder_incarnation
+        return holder is not None and holder.incarnation != incarnation
+
     # Steps of a change
 
     def _advance(self, name: str, now: float) -> list[Emission]:
--- a/src/sardinemill/fleet/records.py
+++ b/src/sardinemill/fleet/records.py
@@ -20,6 +20,8 @@
 
     :param incarnation: process; a restarted one has to join again, since it no longer
         knows which writes of its predecessor are still on their way.
+    :param is_established: every instance that relies on the word of the coordinators
+        knows of this one, so it may change primaries.
     """
 
     name: str
@@ -27,6 +29,7 @@
     host: str
     port: int
     incarnation: str
+    is_established: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,12 +55,14 @@
     """The one object in the store that decides who may use which primary.
 
     :param holder: instance that changed a primary last.
+    :param holder_incarnation: process of the holder.
     :param fence: fencing token of the holder; grows with each change of holder.
     """
 
     coordinators: tuple[Coordinator, ...] = ()
     groups: tuple[GroupRecord, ...] = ()
     holder: str = ""
+    holder_incarnation: str = ""
     fence: int = 0
 
     def find_group(self, group: str) -> GroupRecord | None:
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -52,18 +52,10 @@
 TICK_SECONDS = 0.1
 # Four questions fit into the time for which a right lasts.
 ASK_SECONDS = 0.5
-# A coordinator's view is at most this much older than the store's.
-READ_SECONDS = 0.8
-DIRECTORY_SECONDS = 1.5
-# Watches of the store may hear nothing for seconds, so the configuration is read. A
-# change has to be in force everywhere within 3 s; the next coordinator still makes it
-# when the first one dies.
-CHECK_SECONDS = 1.2
-CHECK_DELAY_SECONDS = 0.3
+# Without an answer for this time a coordinator counts as out of reach.
+LONELY_SECONDS = 1.2
 # Ages in messages; what was never seen has this one.
 MAX_AGE_SECONDS = 1e9
-# Without an answer for this time an instance reads the store itself.
-LONELY_SECONDS = 1.2
 # A coordinator that is silent for this time is replaced.
 SILENCE_SECONDS = 2.0
 # An instance that hears no coordinator at all is more likely to be cut off itself.
@@ -78,6 +70,37 @@
 NEVER = float("-inf")
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CheckPlan:
+    """Ages of knowledge at which instances read the store.
+
+    The first coordinator reads, and the others learn from answers how old its reading
+    is. Whoever learns nothing in time reads by itself, so that it does no harm when
+    the store turns some instances away.
+
+    :param seconds: at the first coordinator.
+    :param rank_seconds: added for each place further down the list.
+    :param other_seconds: at all other instances; above the age that an answer has in
+        calm times, which is ``seconds`` and the interval of questions.
+    """
+
+    seconds: float
+    rank_seconds: float
+    other_seconds: float
+
+
+# Watches of the store may hear nothing for seconds, so everything is read.
+CHECK_PLANS = {
+    # Rights to primaries last 1.8 s from here.
+    "record": CheckPlan(seconds=0.8, rank_seconds=0.25, other_seconds=1.5),
+    # A leaving database must get no more work 7 s after its entry changed.
+    "directory": CheckPlan(seconds=1.5, rank_seconds=0.5, other_seconds=3.0),
+    # A configuration has to be in force everywhere within 3 s.
+    "configuration": CheckPlan(seconds=1.0, rank_seconds=0.3, other_seconds=2.0),
+}
+CHECK_JITTER_SECONDS = 0.3
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Identity:
     """This instance, as others know it."""
@@ -107,11 +130,10 @@
     """Whether this instance is a coordinator and may change primaries.
 
     :param rank: place among the coordinators, ``None`` if it is none.
-    :param may_change_at: not before this time.
     """
 
     rank: int | None
-    may_change_at: float
+    is_established: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,13 +180,13 @@
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
         self._configuration = Configuration()
-        self._configuration_checked_at = NEVER
+        # When each part was known to be current in the store.
+        self._checked_at = dict.fromkeys(CHECK_PLANS, NEVER)
+        self._check_jitter = CHECK_JITTER_SECONDS * random.random()
         self._directory = Directory()
         self._digest = ""
         self._directory_read_at = NEVER
-        self._polls = {
-            kind: _Poll() for kind in ("record", "directory", "configuration")
-        }
+        self._polls = {kind: _Poll() for kind in CHECK_PLANS}
         self._write: WriteRecord | None = None
         self._write_retry_at = NEVER
         self._words: dict[str, CoordinatorWord] = {}
@@ -214,24 +236,27 @@
     def _take_store_outcome(self, message: object, now: float) -> list[Emission]:
         emissions = self._note_store_answer()
         if isinstance(message, RecordRead):
-            self._end_poll("record", now, READ_SECONDS)
+            self._end_poll("record")
             emissions += self._adopt_record(message.record, message.revision, now)
             if message.revision == self._revision:
-                emissions += self._confirm_by_store(message.asked_at, now)
+                emissions += self._confirm_by_store(message.asked_at)
             emissions += self._resolve_write(now)
             emissions += self._start_write(now)
         elif isinstance(message, RecordWritten):
             self._write = None
             emissions += self._adopt_record(message.record, message.revision, now)
+            if message.revision == self._revision:
+                emissions += self._confirm_by_store(message.asked_at)
             emissions += self._start_write(now)
         elif isinstance(message, DirectoryRead):
-            self._end_poll("directory", now, DIRECTORY_SECONDS)
+            self._end_poll("directory")
             emissions += self._adopt_directory(message.directory, message.asked_at)
+            self._note_check("directory", message.asked_at)
         elif isinstance(message, ConfigurationRead):
-            self._end_poll("configuration", now, 0.0)
+            self._end_poll("configuration")
             if message.configuration is not None:
                 emissions += self._adopt_configuration(message.configuration)
-                self._note_check(message.configuration.version, message.asked_at)
+                self._note_check("configuration", message.asked_at)
         return emissions
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -244,8 +269,7 @@
         if self._has_record and now >= self._ask_at:
             self._ask_at = now + ASK_SECONDS
             emissions += self._ask_coordinators(now)
-        if self._reads_store(now):
-            emissions += self._poll_store(now)
+        emissions += self._poll_store(now)
         emissions += self._consider_joining(now)
         emissions += self._start_write(now)
         emissions += self._tell_coordination(now)
@@ -257,10 +281,6 @@
         own = self._record.find_coordinator(self._identity.name)
         return own is not None and own.incarnation == self._identity.incarnation
 
-    def _reads_store(self, now: float) -> bool:
-        last = max(self._heard.values(), default=NEVER)
-        return self._is_coordinator() or now - last > LONELY_SECONDS
-
     def _poll_store(self, now: float) -> list[Emission]:
         requests: tuple[tuple[str, StoreRequest], ...] = (
             ("record", ReadRecord()),
@@ -270,26 +290,25 @@
         emissions = []
         for kind, request in requests:
             poll = self._polls[kind]
-            due_at = poll.due_at
-            if kind == "configuration":
-                due_at = max(due_at, self._find_check_time())
+            due_at = max(poll.due_at, self._find_check_time(kind))
             if not poll.is_running and now >= due_at:
                 poll.is_running = True
+                # A reading that shows nothing is not repeated at once.
+                poll.due_at = now + CHECK_PLANS[kind].seconds
                 emissions.append(Emission("store", request))
         return emissions
 
-    def _find_check_time(self) -> float:
-        """When this instance has to look whether the configuration is current.
-
-        The first coordinator looks, and the others learn it from its answers.
-        """
-        rank = self._find_rank() or 0
-        wait = CHECK_SECONDS + rank * CHECK_DELAY_SECONDS
-        return self._configuration_checked_at + wait
+    def _find_check_time(self, kind: str) -> float:
+        """When this instance has to look by itself."""
+        plan = CHECK_PLANS[kind]
+        rank = self._find_rank()
+        wait = plan.other_seconds + self._check_jitter
+        if rank is not None:
+            wait = plan.seconds + rank * plan.rank_seconds
+        return self._checked_at[kind] + wait
 
-    def _note_check(self, version: int, at: float) -> None:
-        if version == self._configuration.version:
-            self._configuration_checked_at = max(self._configuration_checked_at, at)
+    def _note_check(self, kind: str, at: float) -> None:
+        self._checked_at[kind] = max(self._checked_at[kind], at)
 
     def _find_rank(self) -> int | None:
         """Place among the coordinators, ``None`` if it is none."""
@@ -298,11 +317,10 @@
         names = [item.name for item in self._record.coordinators]
         return names.index(self._identity.name)
 
-    def _end_poll(self, kind: str, now: float, delay: float) -> None:
+    def _end_poll(self, kind: str) -> None:
         poll = self._polls[kind]
         poll.is_running = False
         poll.n_failures = 0
-        poll.due_at = now + delay
 
     def _note_store_answer(self) -> list[Emission]:
         if not self._is_store_lost:
@@ -346,24 +364,17 @@
         before = self._record
         self._record = record
         self._revision = revision
-        # What confirmed the old revision says nothing about the new one.
-        self._confirmed_at = NEVER
-        self._confirmed_by_store_at = NEVER
-        if self._is_coordinator():
-            if self._joined_at is None:
-                # Nobody can have used a primary before the record existed.
-                is_first = not before.coordinators and len(record.coordinators) == 1
-                self._joined_at = now - JOIN_SECONDS if is_first else now
-            self._join_due_at = None
-        else:
-            self._joined_at = None
+        self._note_joining(now)
         names = {item.name for item in record.coordinators}
         self._words = {name: w for name, w in self._words.items() if name in names}
         self._heard = {name: at for name, at in self._heard.items() if name in names}
         self._first_asked = {
             name: at for name, at in self._first_asked.items() if name in names
         }
-        emissions = self._update_links()
+        # No write later than the old revision existed at the time that confirmed it, so
+        # none later than the new one did.
+        confirmed = RecordConfirmed(record, revision, self._confirmed_at)
+        emissions = [Emission("record", confirmed), *self._update_links()]
         if {item.name for item in before.coordinators} != names:
             fields = {"coordinators": sorted(names), "revision": revision}
             emissions.append(
@@ -371,8 +382,18 @@
             )
         return emissions
 
-    def _confirm_by_store(self, at: float, now: float) -> list[Emission]:
+    def _note_joining(self, now: float) -> None:
+        """Note since when this instance is a coordinator."""
+        if not self._is_coordinator():
+            self._joined_at = None
+            return
+        self._join_due_at = None
+        if self._joined_at is None:
+            self._joined_at = now
+
+    def _confirm_by_store(self, at: float) -> list[Emission]:
         self._confirmed_by_store_at = max(self._confirmed_by_store_at, at)
+        self._note_check("record", at)
         return self._confirm(at) + self._learn_known()
 
     def _confirm(self, at: float) -> list[Emission]:
@@ -407,7 +428,7 @@
         record = self._apply_changes(now)
         if record == self._record:
             return []
-        self._write = WriteRecord(record, self._revision, "change")
+        self._write = WriteRecord(record, self._revision)
         self._write_retry_at = now + MAX_RETRY_SECONDS
         return [Emission("store", self._write)]
 
@@ -424,9 +445,16 @@
             record = replace(
                 record, groups=tuple(sorted(groups, key=lambda item: item.group))
             )
-            if proposal.takes_fence and record.holder != self._identity.name:
+            is_holder = (record.holder, record.holder_incarnation) == (
+                self._identity.name,
+                self._identity.incarnation,
+            )
+            if proposal.takes_fence and not is_holder:
                 record = replace(
-                    record, holder=self._identity.name, fence=record.fence + 1
+                    record,
+                    holder=self._identity.name,
+                    holder_incarnation=self._identity.incarnation,
+                    fence=record.fence + 1,
                 )
         return record
 
@@ -442,10 +470,11 @@
             host=self._identity.address.host,
             port=self._identity.address.port,
             incarnation=self._identity.incarnation,
+            is_established=self._is_established(own, record, now),
         )
+        if own == me:
+            return record
         if own is not None:
-            if own == me:
-                return record
             return replace(record, coordinators=(*others, me))
         if self._join_due_at is None or now < self._join_due_at:
             return record
@@ -454,6 +483,28 @@
             return record
         return replace(record, coordinators=(*kept, me))
 
+    def _is_established(
+        self, own: Coordinator | None, record: FleetRecord, now: float
+    ) -> bool:
+        """Tell whether nobody counts on a list of coordinators without this one."""
+        if not record.coordinators and not record.groups:
+            # Nobody can have used a primary before the first coordinator.
+            return True
+        if own is None:
+            return False
+        if own.incarnation == self._identity.incarnation:
+            has_waited = (
+                self._joined_at is not None and now - self._joined_at > JOIN_SECONDS
+            )
+            return own.is_established or has_waited
+        # This process has the address of its predecessor, which is dead: no list that
+        # names the predecessor can be unanimous any more.
+        is_same_place = (own.host, own.port) == (
+            self._identity.address.host,
+            self._identity.address.port,
+        )
+        return own.is_established and is_same_place
+
     def _is_silent(self, name: str, now: float) -> bool:
         first = self._first_asked.get(name)
         last = max(self._heard.get(name, NEVER), NEVER if first is None else first)
@@ -477,7 +528,7 @@
         elif self._join_due_at is None:
             places = {item.data_centre for item in self._record.coordinators}
             # Instances of data centres without a coordinator go first.
-            penalty = 0.6 if self._identity.data_centre in places else 0.0
+            penalty = 1.0 if self._identity.data_centre in places else 0.0
             wait = MAX_JITTER_SECONDS * (self._random.random() + penalty)
             self._join_due_at = now + (wait if names else wait / 4)
         return []
@@ -662,11 +713,11 @@
             if question.configuration_version < self._configuration.version
             else None,
             configuration_version=self._configuration.version,
-            configuration_age_seconds=_find_age(self._configuration_checked_at, now),
+            configuration_age_seconds=_find_age(self._checked_at["configuration"], now),
             directory=self._directory
             if question.directory_digest != self._digest
             else None,
-            directory_age_seconds=_find_age(self._directory_read_at, now),
+            directory_age_seconds=_find_age(self._checked_at["directory"], now),
             positions=self._make_position_reports(now),
             n_instances=self._count_members(now),
         )
@@ -708,15 +759,18 @@
             )
         if answer.record_revision == self._revision:
             read_at = asked_at - answer.record_age_seconds
-            emissions += self._confirm_by_store(read_at, now)
+            emissions += self._confirm_by_store(read_at)
             emissions += self._confirm_by_words(now)
         if answer.configuration is not None:
             emissions += self._adopt_configuration(answer.configuration)
-        checked_at = asked_at - answer.configuration_age_seconds
-        self._note_check(answer.configuration_version, checked_at)
+        if answer.configuration_version == self._configuration.version:
+            checked_at = asked_at - answer.configuration_age_seconds
+            self._note_check("configuration", checked_at)
+        read_at = asked_at - answer.directory_age_seconds
         if answer.directory is not None:
-            read_at = asked_at - answer.directory_age_seconds
             emissions += self._adopt_directory(answer.directory, read_at)
+        if answer.directory is None or answer.directory == self._directory:
+            self._note_check("directory", read_at)
         emissions += self._take_positions(answer.positions, asked_at)
         emissions += self._resolve_write(now)
         return emissions
@@ -767,10 +821,11 @@
         emissions = []
         names = [item.name for item in self._record.coordinators]
         rank = self._find_rank()
-        may_change_at = (self._joined_at or now) + JOIN_SECONDS
+        own = self._record.find_coordinator(self._identity.name)
         if self._is_leaving:
             rank = None
-        changed = CoordinationChanged(rank, may_change_at if rank is not None else 0.0)
+        is_established = rank is not None and own is not None and own.is_established
+        changed = CoordinationChanged(rank, is_established)
         if changed != self._told_coordination:
             self._told_coordination = changed
             emissions.append(Emission("coordination", changed))
--- a/src/sardinemill/fleet/store_messages.py
+++ b/src/sardinemill/fleet/store_messages.py
@@ -27,12 +27,10 @@
     """Replace the fleet record if it is still at the revision.
 
     :param revision: 0 to create it.
-    :param purpose: passed back with the outcome.
     """
 
     record: FleetRecord
     revision: int
-    purpose: str
 
 
 StoreRequest = ReadRecord | ReadDirectory | ReadConfiguration | WriteRecord
@@ -79,11 +77,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordWritten:
-    """The record was replaced."""
+    """The record was replaced at some moment after ``asked_at``."""
 
     record: FleetRecord
     revision: int
-    purpose: str
+    asked_at: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/platform/store.py
+++ b/src/sardinemill/platform/store.py
@@ -234,7 +234,7 @@
             revision = await self._store.put(
                 RECORD_KIND, RECORD_NAME, content, request.revision
             )
-            return RecordWritten(request.record, revision, request.purpose)
+            return RecordWritten(request.record, revision, asked_at)
         found = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
         return ConfigurationRead(self._decode_configuration(found), asked_at)
 
--- a/src/sardinemill/serving.py
+++ b/src/sardinemill/serving.py
@@ -174,7 +174,11 @@
         )
         admission.bind({"next": placement, "result": conversations, "peers": peers})
         placement.bind(
-            {"connections": upstreams, "result": conversations, "seen": state}
+            {
+                "connections": upstreams,
+                "result": FanOut([conversations, admission]),
+                "seen": state,
+            }
         )
         stages = (state, promotion, lending, conversations, admission, placement)
         for stage in stages:
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -10,7 +10,7 @@
 from ..fleet.state import CoordinatorsHeard
 from ..groups import rank_candidates
 from ..interfaces import Emission
-from .messages import ErrorCode, StatementRequest, StatementResult
+from .messages import Effect, ErrorCode, StatementRequest, StatementResult
 from .routes import EMPTY_TABLE, RoutesChanged, WorkspacePlan
 
 # Tokens that are not spent by then are gone, so that they do not pile up into a burst.
@@ -95,6 +95,8 @@
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, TokenGrant):
                 return self._take_grant(message.message, now)
+        elif isinstance(message, StatementResult):
+            self._take_back(message, now)
         elif isinstance(message, RoutesChanged):
             self._table = message.table
         elif isinstance(message, CoordinatorsHeard):
@@ -140,6 +142,17 @@
         account.waiting.append(request)
         return self._ask(plan.name, account, now)
 
+    def _take_back(self, result: StatementResult, now: float) -> None:
+        """Keep the token of an operation that did not run for the next one."""
+        account = self._accounts.get(result.request.workspace)
+        has_run = result.code is None or result.effect is not Effect.NOT_RUN
+        if account is None or has_run or not result.request.starts_operation:
+            return
+        if account.expires_at <= now:
+            account.level = 0.0
+        account.level += 1.0
+        account.expires_at = now + TOKEN_LIFETIME_SECONDS
+
     def _find_prefetch(self, account: _Account, now: float) -> int:
         wanted = math.floor(account.asked_rate.read(now) * PREFETCH_SECONDS)
         return min(MAX_PREFETCH, wanted)
--- a/tests/test_fleet_tokens.py
+++ b/tests/test_fleet_tokens.py
@@ -8,7 +8,11 @@
 from sardinemill.fleet.tokens import TokenLending
 from sardinemill.groups import rank_candidates
 from sardinemill.sessions.admission import GRANT_SECONDS, Admission
-from sardinemill.sessions.messages import StatementRequest, StatementResult
+from sardinemill.sessions.messages import (
+    ErrorCode,
+    StatementRequest,
+    StatementResult,
+)
 from session_builders import (
     BOOKINGS_ROUTE,
     WRITE,
@@ -177,3 +181,19 @@
     fleet.run(5, 40)
     allowed = (5.0 * WINDOW_SECONDS + 5.0) * (1 + OVERSHOOT) + SLACK
     assert len(fleet.admitted) - n_before <= allowed
+
+
+def test_operation_that_did_not_run_costs_nothing():
+    """Guards against retries that use up the plan while no database can be used."""
+    fleet = Fleet(n_instances=1)
+    fleet.run(2, 40)
+    (instance,) = fleet.instances
+    n_before = len(fleet.admitted)
+    request = make_statement_request(9999, WRITE, BOOKINGS_ROUTE)
+    for _ in range(200):
+        fleet.now += 0.01
+        emissions = instance.handle(request, fleet.now)
+        fleet._take(0, emissions)
+        result = StatementResult(request=request, code=ErrorCode.BUSY)
+        instance.handle(result, fleet.now)
+    assert len(fleet.admitted) - n_before == 200
