--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -364,6 +364,8 @@
         before = self._record
         self._record = record
         self._revision = revision
+        # Another list of coordinators changes who should join, and when.
+        self._join_due_at = None
         self._note_joining(now)
         names = {item.name for item in record.coordinators}
         self._words = {name: w for name, w in self._words.items() if name in names}
@@ -387,7 +389,6 @@
         if not self._is_coordinator():
             self._joined_at = None
             return
-        self._join_due_at = None
         if self._joined_at is None:
             self._joined_at = now
 
