Let a pending change end the rights to its own group only

Change: words and confirmations name the groups that a pending write may change. The start of a change is logged when its mark has taken effect, not at each proposal.

--- a/src/sardinemill/fleet/evidence.py
+++ b/src/sardinemill/fleet/evidence.py
@@ -35,21 +35,34 @@
 
     :param asked_at: when the question was sent, on the local clock.
     :param revision: of the record that the coordinator knew.
+    :param pending_groups: groups that a write of it may still change.
     """
 
     incarnation: str
     asked_at: float
     revision: int
-    has_pending_write: bool
+    pending_groups: tuple[str, ...] = ()
 
 
-def find_unanimous_time(
+@dataclass(frozen=True, slots=True)
+class UnanimousWord:
+    """What all coordinators said.
+
+    :param at: time at which none of them had written anything.
+    :param pending_groups: groups for which that does not hold.
+    """
+
+    at: float
+    pending_groups: frozenset[str]
+
+
+def find_unanimous_word(
     record: FleetRecord,
     revision: int,
     words: Mapping[str, CoordinatorWord],
     confirmed_by_store_at: float,
     now: float,
-) -> float | None:
+) -> UnanimousWord | None:
     """Find the latest time at which all coordinators had written nothing.
 
     :param words: last word of each coordinator by name.
@@ -59,14 +72,15 @@
     if not record.coordinators or now - confirmed_by_store_at > WORD_SECONDS:
         return None
     times: list[float] = []
+    pending: set[str] = set()
     for coordinator in record.coordinators:
         word = words.get(coordinator.name)
         if (
             word is None
             or word.incarnation != coordinator.incarnation
             or word.revision != revision
-            or word.has_pending_write
         ):
             return None
         times.append(word.asked_at)
-    return min(times)
+        pending.update(word.pending_groups)
+    return UnanimousWord(min(times), frozenset(pending))
--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -64,7 +64,8 @@
     :param incarnation: process of the sender.
     :param record_age_seconds: since the sender read the record from the store.
     :param record: left out when the asker has that revision.
-    :param has_pending_write: a write of the record by the sender may take effect.
+    :param pending_groups: groups that a write of the record by the sender may still
+        change.
     :param configuration_age_seconds: since the configuration was known to be current.
     :param directory_age_seconds: since the sender read the directory.
     :param n_instances: instances that the sender hears from, itself included.
@@ -74,7 +75,7 @@
     incarnation: str
     record_revision: int
     record_age_seconds: float
-    has_pending_write: bool
+    pending_groups: tuple[str, ...] = ()
     record: FleetRecord | None = None
     configuration: Configuration | None = field(default=None, repr=False)
     directory: Directory | None = None
--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -138,8 +138,9 @@
 
     began_at: float
     record: GroupRecord
-    fence: int
+    reason: str
     is_planned: bool
+    fence: int = 0
     is_fresh: bool = True
     step: Step = Step.WAIT
     due_at: float = 0.0
@@ -319,22 +320,10 @@
         self._changes[record.group] = _Change(
             began_at=now,
             record=marked,
-            fence=0,
+            reason=reason,
             is_planned=reason == "leaving",
         )
-        fields = {
-            "group": record.group,
-            "primary": record.primary,
-            "reason": reason,
-            "rank": self._rank,
-            "silent_seconds": round(
-                min(now - self._alive_at.get(record.primary, NEVER), 999.0), 3
-            ),
-        }
-        return [
-            Emission("proposals", GroupProposed(marked, record, takes_fence=True)),
-            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
-        ]
+        return [Emission("proposals", GroupProposed(marked, record, takes_fence=True))]
 
     def _watch_change(
         self, record: GroupRecord, state: _Group, now: float
@@ -355,18 +344,13 @@
         state.proposed_at = now
         again = replace(record, attempt=record.attempt + 1)
         self._changes[record.group] = _Change(
-            began_at=now, record=again, fence=0, is_planned=False, is_fresh=False
+            began_at=now,
+            record=again,
+            reason=f"{self._record.holder} did not finish",
+            is_planned=False,
+            is_fresh=False,
         )
-        fields = {
-            "group": record.group,
-            "primary": record.primary,
-            "reason": f"{self._record.holder} did not finish",
-            "rank": self._rank,
-        }
-        return [
-            Emission("proposals", GroupProposed(again, record, takes_fence=True)),
-            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
-        ]
+        return [Emission("proposals", GroupProposed(again, record, takes_fence=True))]
 
     def _is_holder_gone(self) -> bool:
         """Tell whether the holder's process has ended, or is this one."""
@@ -407,6 +391,7 @@
                 # The write has taken effect: later evidence shows it.
                 change.fence = self._record.fence
                 change.due_at = now + RIGHT_SECONDS + RIGHT_MARGIN_SECONDS
+                return [self._tell_started(change, now)]
             elif now - change.began_at > HOLD_SECONDS / 3:
                 del self._changes[name]
             return []
@@ -417,6 +402,19 @@
         change.due_at = now
         return self._measure(name, change, now)
 
+    def _tell_started(self, change: _Change, now: float) -> Emission:
+        primary = change.record.primary
+        alive_at = self._alive_at.get(primary, NEVER)
+        fields = {
+            "group": change.record.group,
+            "primary": primary,
+            "reason": change.reason,
+            "rank": self._rank,
+            "fence": change.fence,
+            "silent_seconds": round(min(now - alive_at, 999.0), 3),
+        }
+        return Emission("events", Event(EventName.CHANGE_STARTED, fields))
+
     def _measure(self, name: str, change: _Change, now: float) -> list[Emission]:
         targets = [
             item
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -23,7 +23,7 @@
     RoutesChanged,
     make_route_table,
 )
-from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_time
+from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_word
 from .messages import ContactReport, FleetAnswer, FleetQuestion, PositionReport
 from .records import (
     Coordinator,
@@ -179,6 +179,7 @@
         self._has_record = False
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
+        self._pending_groups: frozenset[str] = frozenset()
         self._configuration = Configuration()
         # When each part was known to be current in the store.
         self._checked_at = dict.fromkeys(CHECK_PLANS, NEVER)
@@ -375,7 +376,9 @@
         }
         # No write later than the old revision existed at the time that confirmed it, so
         # none later than the new one did.
-        confirmed = RecordConfirmed(record, revision, self._confirmed_at)
+        confirmed = RecordConfirmed(
+            record, revision, self._confirmed_at, self._pending_groups
+        )
         emissions = [Emission("record", confirmed), *self._update_links()]
         if {item.name for item in before.coordinators} != names:
             fields = {"coordinators": sorted(names), "revision": revision}
@@ -397,11 +400,14 @@
         self._note_check("record", at)
         return self._confirm(at) + self._learn_known()
 
-    def _confirm(self, at: float) -> list[Emission]:
-        if at <= self._confirmed_at:
+    def _confirm(
+        self, at: float, pending_groups: frozenset[str] = frozenset()
+    ) -> list[Emission]:
+        if at <= self._confirmed_at and not self._pending_groups:
             return []
-        self._confirmed_at = at
-        confirmed = RecordConfirmed(self._record, self._revision, at)
+        self._confirmed_at = max(at, self._confirmed_at)
+        self._pending_groups = pending_groups
+        confirmed = RecordConfirmed(self._record, self._revision, at, pending_groups)
         return [Emission("record", confirmed)]
 
     def _learn_known(self) -> list[Emission]:
@@ -708,7 +714,7 @@
             incarnation=self._identity.incarnation,
             record_revision=self._revision,
             record_age_seconds=_find_age(self._confirmed_by_store_at, now),
-            has_pending_write=self._write is not None,
+            pending_groups=self._list_pending_groups(),
             record=self._record if question.record_revision < self._revision else None,
             configuration=self._configuration
             if question.configuration_version < self._configuration.version
@@ -756,7 +762,7 @@
                 answer.incarnation,
                 asked_at,
                 answer.record_revision,
-                answer.has_pending_write,
+                answer.pending_groups,
             )
         if answer.record_revision == self._revision:
             read_at = asked_at - answer.record_age_seconds
@@ -783,12 +789,22 @@
                 self._identity.incarnation,
                 now,
                 self._revision,
-                self._write is not None,
+                self._list_pending_groups(),
             )
-        at = find_unanimous_time(
+        word = find_unanimous_word(
             self._record, self._revision, words, self._confirmed_by_store_at, now
         )
-        return [] if at is None else self._confirm(at)
+        return [] if word is None else self._confirm(word.at, word.pending_groups)
+
+    def _list_pending_groups(self) -> tuple[str, ...]:
+        """Groups that a write of this instance may still change."""
+        if self._write is None:
+            return ()
+        return tuple(
+            item.group
+            for item in self._write.record.groups
+            if item != self._record.find_group(item.group)
+        )
 
     # Other instances
 
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -101,7 +101,9 @@
         self._data_centre = data_centre
         self._book = ConnectionBook()
         self._record = FleetRecord()
-        self._confirmed_at = NEVER
+        # When the record of each group was last known to be in force.
+        self._confirmed_at: dict[str, float] = {}
+        self._latest_at = NEVER
         self._directory = Directory()
         self._absent: dict[str, tuple[DatabaseEntry, float]] = {}
         self._positions: dict[str, PositionSeen] = {}
@@ -134,9 +136,7 @@
         if isinstance(message, TransactionAbandoned):
             return self._abandon(message.session_id)
         if isinstance(message, RecordConfirmed):
-            self._record = message.record
-            self._confirmed_at = message.confirmed_at
-            return self._tell_right(now)
+            return self._take_record(message, now)
         if isinstance(message, PositionSeen):
             self._merge_position(message)
         elif isinstance(message, DirectoryChanged):
@@ -209,12 +209,21 @@
             )
         self._positions[seen.group] = seen
 
+    def _take_record(self, message: RecordConfirmed, now: float) -> list[Emission]:
+        self._record = message.record
+        self._latest_at = max(self._latest_at, message.confirmed_at)
+        for item in message.record.groups:
+            if item.group not in message.pending_groups:
+                known = self._confirmed_at.get(item.group, NEVER)
+                self._confirmed_at[item.group] = max(known, message.confirmed_at)
+        return self._tell_right(now)
+
     def _find_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """The primary, if this instance has the right to use it now."""
         record = self._record.find_group(group)
         if record is None or record.phase is not GroupPhase.STEADY:
             return None
-        if now - self._confirmed_at > RIGHT_SECONDS:
+        if now - self._confirmed_at.get(group, NEVER) > RIGHT_SECONDS:
             return None
         entry = self._find_entry(record.primary, now)
         if entry is not None and record.primary_born_ms not in (0, entry.born_ms):
@@ -222,12 +231,12 @@
         return entry
 
     def _tell_right(self, now: float) -> list[Emission]:
-        has_right = now - self._confirmed_at <= RIGHT_SECONDS
+        has_right = now - self._latest_at <= RIGHT_SECONDS
         if has_right == self._has_right:
             return []
         self._has_right = has_right
         name = EventName.RIGHT_REGAINED if has_right else EventName.RIGHT_LOST
-        age = round(min(now - self._confirmed_at, 9999.0), 3)
+        age = round(min(now - self._latest_at, 9999.0), 3)
         return [Emission("events", Event(name, {"evidence_age_seconds": age}))]
 
     # Choice of a database
@@ -278,7 +287,7 @@
             chosen = primary
         if chosen is None:
             record = self._record.find_group(group)
-            age = min(now - self._confirmed_at, 999.0)
+            age = min(now - self._confirmed_at.get(group, NEVER), 999.0)
             phase = "none" if record is None else record.phase.value
             return self._refuse(
                 attempt,
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -1,5 +1,7 @@
 """Choice of database and connection, with a hand-moved clock."""
 
+from dataclasses import replace
+
 from sardinemill.fleet.evidence import RIGHT_SECONDS
 from sardinemill.fleet.records import DatabaseContact, GroupPhase, PositionSeen
 from sardinemill.positions import LogPosition
@@ -332,3 +334,14 @@
     for number in range(5):
         run = ask(placement, make_statement_request(number, route=STATUS_ROUTE))
         assert run.dispatch.database != "r1"
+
+
+def test_pending_change_of_a_group_renews_no_right_to_it():
+    """Guards against a primary in use while its change is being written."""
+    placement = make_placement()
+    later = NOW + RIGHT_SECONDS + 0.01
+    pending = replace(make_confirmed(later), pending_groups=frozenset({"g"}))
+    placement.handle(pending, later)
+    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE, received_at=later)
+    (result,) = select(placement.handle(request, later), "result", StatementResult)
+    assert result.code is ErrorCode.BUSY
