Say why a request was refused; a page from request to cause, tested

Cause: tracing Lombardy's incident, 'rate limit' and 'no database to use' had to be guessed from other lines: whether the plan was used up or no lender answered, and how many databases were tried. The lines now say so.

--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -136,9 +136,9 @@
                 emissions += self._ask(plan.name, account, now)
             return emissions
         if now < account.refused_until:
-            return [self._refuse(request, account.refused_until - now)]
+            return [self._refuse(request, "plan used up", account.refused_until - now)]
         if len(account.waiting) >= MAX_WAITING:
-            return [self._refuse(request, GRANT_SECONDS)]
+            return [self._refuse(request, "too many wait for tokens", GRANT_SECONDS)]
         account.waiting.append(request)
         return self._ask(plan.name, account, now)
 
@@ -194,7 +194,8 @@
             wait = grant.retry_after_seconds
             account.refused_until = now + wait
             while account.waiting:
-                emissions.append(self._refuse(account.waiting.popleft(), wait))
+                refused = account.waiting.popleft()
+                emissions.append(self._refuse(refused, "plan used up", wait))
         elif account.waiting:
             emissions += self._ask(grant.workspace, account, now)
         return emissions
@@ -216,7 +217,7 @@
                 account.alone_level -= 1.0
                 emissions.append(Emission("next", request))
             else:
-                emissions.append(self._refuse(request, GRANT_SECONDS))
+                emissions.append(self._refuse(request, "no lender", GRANT_SECONDS))
         return emissions
 
     def _find_alone_rate(
@@ -229,10 +230,10 @@
         share = max(lent_share, 1.0 / self._n_instances)
         return ALONE_FRACTION * share * limit
 
-    def _refuse(self, request: StatementRequest, wait: float) -> Emission:
+    def _refuse(self, request: StatementRequest, cause: str, wait: float) -> Emission:
         result = StatementResult(
             request=request,
             code=ErrorCode.BUSY,
-            message=f"rate limit; retry after {max(wait, 0.01):.2f} s",
+            message=f"rate limit, {cause}; retry after {max(wait, 0.01):.2f} s",
         )
         return Emission("result", result)
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -293,8 +293,8 @@
             return self._refuse(
                 attempt,
                 ErrorCode.BUSY,
-                f"no database to use: primary {phase}, evidence {age:.2f} s old;"
-                " retry after 0.5 s",
+                f"no database to use: primary {phase}, right {age:.2f} s old,"
+                f" {len(attempt.tried)} tried; retry after 0.5 s",
             )
         attempt.was_primary = primary is not None and chosen.name == primary.name
         attempt.after = None if attempt.was_primary else after
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -4,6 +4,7 @@
 import shlex
 from pathlib import Path
 
+from sardinemill.cli import run
 from sardinemill.commands import COMMANDS
 from sardinemill.events import Event, EventName, format_catalogue
 from sardinemill.journal import Journal
@@ -86,3 +87,37 @@
     assert (tmp_path / "picture.html").read_text().startswith("<!DOCTYPE html>")
     for words in list_commands(COMMANDS):
         assert any(" ".join(words) in line for line in shown), words
+
+
+OPERATIONS = (DOCS / "OPERATIONS.md").read_text()
+PIPELINE = re.compile(r"^    \$ (sardinemill timeline .*)$", re.MULTILINE)
+
+
+def run_pipeline(line, monkeypatch, capsys):
+    """Run a command of the page; a filter after it keeps the lines that match."""
+    command, _, condition = line.partition(" | grep ")
+    monkeypatch.chdir(DOCS.parent)
+    assert run(shlex.split(command)[1:], {}) == 0
+    lines = capsys.readouterr().out.splitlines()
+    if condition:
+        pattern = re.compile(shlex.split(condition)[-1])
+        lines = [item for item in lines if pattern.search(item)]
+    return lines
+
+
+def test_every_command_of_the_operations_page_finds_something(monkeypatch, capsys):
+    """Guards against a page that does not lead from a request to its cause."""
+    shown = PIPELINE.findall(OPERATIONS)
+    assert len(shown) >= 6
+    for line in shown:
+        assert run_pipeline(line, monkeypatch, capsys), line
+
+
+def test_operations_page_leads_to_the_causes(monkeypatch, capsys):
+    """Guards against logs that do not hold what the page says of them."""
+    by_id = [line for line in PIPELINE.findall(OPERATIONS) if "--request-id" in line]
+    found = ["\n".join(run_pipeline(line, monkeypatch, capsys)) for line in by_id]
+    limit, unusable, doubt = found
+    assert "reason=rate limit" in limit
+    assert "statement_retried" in unusable and "no database to use" in unusable
+    assert "effect=unknown" in doubt
