Shorten the change of primary; acknowledge no write after its right has ended

Change: rights last 1.3 s (three questions of 0.4 s), margin 0.3 s, a primary counts as dead after 0.8 s, the next coordinator waits 0.4 s. A write that is answered after the right ended becomes in doubt, so the margin no longer has to cover the queue of the database.

Ruled out: replacing without a wait (a cut-off instance would go on writing).

--- a/src/sardinemill/fleet/evidence.py
+++ b/src/sardinemill/fleet/evidence.py
@@ -19,9 +19,10 @@
 
 # Long enough for three questions to the coordinators, short enough that a change of
 # primary ends within the 5 s of the target.
-RIGHT_SECONDS = 1.8
-# Covers the time that a statement sent just in time needs to reach the database.
-RIGHT_MARGIN_SECONDS = 0.4
+RIGHT_SECONDS = 1.3
+# Covers the time that a statement sent just in time needs to reach the database. A
+# write that is answered after the right has ended is not acknowledged.
+RIGHT_MARGIN_SECONDS = 0.3
 # The word of the coordinators counts this long after the list of them was confirmed.
 # It bridges an outage of the store of this length.
 WORD_SECONDS = 7.0
--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -29,11 +29,11 @@
 TICK_SECONDS = 0.1
 # A primary that nobody reached for this time, while somebody tried, is replaced.
 # Shorter silences are mostly a dropped packet or a restart of the database.
-DEAD_SECONDS = 1.0
+DEAD_SECONDS = 0.8
 # Time for the failures of other instances to arrive with their questions.
 FAILURE_MEMORY_SECONDS = 2.0
 # Coordinators further down the list wait longer, so that mostly one acts.
-RANK_DELAY_SECONDS = 0.7
+RANK_DELAY_SECONDS = 0.4
 # A holder acts within this time of its write, or not at all.
 HOLD_SECONDS = 6.0
 # Another coordinator takes over after this time; longer than the holder may act.
@@ -47,7 +47,7 @@
 MEASURE_WAIT_SECONDS = 0.6
 # A planned change waits this long for a replica to receive everything.
 CATCH_UP_SECONDS = 2.0
-PROBE_SECONDS = 0.3
+PROBE_SECONDS = 0.25
 # A database that left the list is not replaced before its entry may be back.
 ABSENT_SECONDS = 2.5
 # The old primary is told to step down at this interval until it does.
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -50,8 +50,8 @@
 )
 
 TICK_SECONDS = 0.1
-# Four questions fit into the time for which a right lasts.
-ASK_SECONDS = 0.5
+# Three questions fit into the time for which a right lasts.
+ASK_SECONDS = 0.4
 # Without an answer for this time a coordinator counts as out of reach.
 LONELY_SECONDS = 1.2
 # Ages in messages; what was never seen has this one.
@@ -95,8 +95,8 @@
 
 # Watches of the store may hear nothing for seconds, so everything is read.
 CHECK_PLANS = {
-    # Rights to primaries last 1.8 s from here.
-    "record": CheckPlan(0.7, 0.25, 1.4, 0.1),
+    # Rights to primaries last 1.3 s from here.
+    "record": CheckPlan(0.4, 0.15, 0.85, 0.1),
     # A leaving database must get no more work 7 s after its entry changed.
     "directory": CheckPlan(1.5, 0.5, 3.0, 0.3),
     # A configuration has to be in force everywhere within 3 s.
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -67,7 +67,7 @@
 TICK_SECONDS = 0.1
 
 # Costs that add up to the preference between databases, in statements that wait.
-REMOTE_COST = 0.15
+REMOTE_COST = 0.4
 NO_CONNECTION_COST = 0.35
 PRIMARY_COST = 0.6
 AVOIDED_COST = 100.0
@@ -501,6 +501,14 @@
         if attempt.was_primary and has_run and message.position is not None:
             emissions += self._note_position(request, message)
         if message.is_answered and message.code is None and has_run:
+            if self._is_late_write(request, connection.database, now):
+                return emissions + self._finish_attempt(
+                    request,
+                    connection.database,
+                    now,
+                    message="the primary may have been replaced meanwhile",
+                    effect=Effect.UNKNOWN,
+                )
             del self._attempts[request.request_id]
             result = StatementResult(
                 request=request,
@@ -525,6 +533,16 @@
             effect=_find_effect(request, message),
         )
 
+    def _is_late_write(
+        self, request: StatementRequest, database: str, now: float
+    ) -> bool:
+        """Tell whether a write was answered after the right to its primary ended."""
+        ends = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
+        if request.is_read_only or not ends:
+            return False
+        primary = self._find_primary(request.route.group, now)
+        return primary is None or primary.name != database
+
     def _settle_connection(
         self,
         connection: Connection,
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -345,3 +345,12 @@
     request = make_statement_request(1, WRITE, BOOKINGS_ROUTE, received_at=later)
     (result,) = select(placement.handle(request, later), "result", StatementResult)
     assert result.code is ErrorCode.BUSY
+
+
+def test_write_that_is_answered_after_the_right_ended_is_not_acknowledged():
+    """Guards against an acknowledged write at a primary that was replaced."""
+    placement = make_placement()
+    run = ask(placement, make_statement_request(1, WRITE, BOOKINGS_ROUTE))
+    emissions = placement.handle(finish(run), NOW + RIGHT_SECONDS + 0.01)
+    (result,) = select(emissions, "result", StatementResult)
+    assert (result.is_answered, result.effect) == (False, Effect.UNKNOWN)
