Answer questions without a look at all instances

Cause: the new slope of a round of questions curved: 36, 293, 1,104 ms at 100, 300, 620 instances (2.1 ms each and rising); each question rebuilt the list of peers and counted all members. Change: only a new address rebuilds the list, members are counted at each tick. Slopes of the session path: make slopes, part 'sessions'.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,6 +12,7 @@
 from .slopes_fleet import measure_fleet
 from .slopes_front import measure_connections, measure_statements
 from .slopes_membership import measure_membership
+from .slopes_sessions import measure_sessions
 from .slopes_state import (
     measure_authentication,
     measure_heartbeats,
@@ -28,6 +29,7 @@
     "connections": measure_connections,
     "statements": measure_statements,
     "fleet": measure_fleet,
+    "sessions": measure_sessions,
 }
 
 
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -213,6 +213,7 @@
         self._complete_at: float | None = None
         self._is_store_lost = False
         self._n_instances = 1
+        self._n_members = 1
         self._told_coordination: CoordinationChanged | None = None
         self._told_heard: CoordinatorsHeard | None = None
 
@@ -711,7 +712,13 @@
     def _take_question(self, question: FleetQuestion, now: float) -> list[Emission]:
         before = self._members.get(question.instance)
         self._members[question.instance] = (question, now)
-        emissions = self._update_links()
+        emissions = []
+        # Going through all members for each question would grow with their square.
+        if before is None or (before[0].host, before[0].port) != (
+            question.host,
+            question.port,
+        ):
+            emissions = self._update_links()
         sent_at = NEVER
         if before is not None and before[0].number == question.echo_number:
             # The asker had the answer to its earlier question for this time already.
@@ -739,7 +746,7 @@
             else None,
             directory_age_seconds=_find_age(self._checked_at["directory"], now),
             positions=self._make_position_reports(now),
-            n_instances=self._count_members(now),
+            n_instances=self._n_members,
         )
         emissions.append(
             Emission("peers", PeerEnvelope(peer=question.instance, message=answer))
@@ -850,6 +857,7 @@
     def _tell_coordination(self, now: float) -> list[Emission]:
         emissions = []
         names = [item.name for item in self._record.coordinators]
+        self._n_members = self._count_members(now)
         rank = self._find_rank()
         own = self._record.find_coordinator(self._identity.name)
         if self._is_leaving:
@@ -866,7 +874,7 @@
                 if name == self._identity.name
                 or now - self._heard.get(name, NEVER) < LONELY_SECONDS
             ),
-            max(self._n_instances, self._count_members(now)),
+            max(self._n_instances, self._n_members),
         )
         if heard != self._told_heard:
             self._told_heard = heard
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -413,3 +413,22 @@
     emissions = state.tick(200.0)
     kinds = [type(item) for item in select(emissions, "store")]
     assert len(kinds) == len(set(kinds))
+
+
+def test_question_of_a_known_instance_costs_no_look_at_all_others(network, monkeypatch):
+    """Guards against work of a coordinator that grows with the square of the fleet."""
+    name = network.coordinators[0]
+    looks = []
+    update = FleetState._update_links
+    monkeypatch.setattr(
+        FleetState,
+        "_update_links",
+        lambda state: looks.append(state._identity.name) or update(state),
+    )
+    monkeypatch.setattr(
+        FleetState, "_count_members", lambda state, now: looks.append("count") or 1
+    )
+    envelope = network.states["f"]._make_question(name, network.now).message
+    received = PeerEnvelope(peer="f", message=envelope.message)
+    network.states[name].handle(received, network.now)
+    assert looks == []
