--- a/src/sardinemill/fleet/evidence.py
+++ b/src/sardinemill/fleet/evidence.py
@@ -36,35 +36,25 @@
 
     :param asked_at: when the question was sent, on the local clock.
     :param revision: of the record that the coordinator knew.
-    :param pending_groups: groups that a write of it may still change.
     """
 
     incarnation: str
     asked_at: float
     revision: int
-    pending_groups: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class UnanimousWord:
-    """What all coordinators said.
-
-    :param at: time at which none of them had written anything.
-    :param pending_groups: groups for which that does not hold.
-    """
-
-    at: float
-    pending_groups: frozenset[str]
-
-
-def find_unanimous_word(
+def find_unanimous_time(
     record: FleetRecord,
     revision: int,
     words: Mapping[str, CoordinatorWord],
     confirmed_by_store_at: float,
     now: float,
-) -> UnanimousWord | None:
-    """Find the latest time at which all coordinators had written nothing.
+) -> float | None:
+    """Find the latest time at which no coordinator knew of a later write.
+
+    A write that is on its way, or whose answer was lost, does no harm: its author
+    counts the time to wait from when it learns that the write has taken effect, and
+    its words name the new revision from then on.
 
     :param words: last word of each coordinator by name.
     :param confirmed_by_store_at: when the record was last known to be in the store.
@@ -73,7 +63,6 @@
     if not record.coordinators or now - confirmed_by_store_at > WORD_SECONDS:
         return None
     times: list[float] = []
-    pending: set[str] = set()
     for coordinator in record.coordinators:
         word = words.get(coordinator.name)
         if (
@@ -83,5 +72,4 @@
         ):
             return None
         times.append(word.asked_at)
-        pending.update(word.pending_groups)
-    return UnanimousWord(min(times), frozenset(pending))
+    return min(times)
--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -64,8 +64,6 @@
     :param incarnation: process of the sender.
     :param record_age_seconds: since the sender read the record from the store.
     :param record: left out when the asker has that revision.
-    :param pending_groups: groups that a write of the record by the sender may still
-        change.
     :param configuration_age_seconds: since the configuration was known to be current.
     :param directory_age_seconds: since the sender read the directory.
     :param n_instances: instances that the sender hears from, itself included.
@@ -75,7 +73,6 @@
     incarnation: str
     record_revision: int
     record_age_seconds: float
-    pending_groups: tuple[str, ...] = ()
     record: FleetRecord | None = None
     configuration: Configuration | None = field(default=None, repr=False)
     directory: Directory | None = None
--- a/src/sardinemill/fleet/records.py
+++ b/src/sardinemill/fleet/records.py
@@ -129,13 +129,11 @@
     """The record was in force at a point in time.
 
     :param confirmed_at: on the local clock; no later write existed then.
-    :param pending_groups: groups to which that does not apply.
     """
 
     record: FleetRecord
     revision: int
     confirmed_at: float
-    pending_groups: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -23,7 +23,7 @@
     RoutesChanged,
     make_route_table,
 )
-from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_word
+from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_time
 from .messages import ContactReport, FleetAnswer, FleetQuestion, PositionReport
 from .records import (
     Coordinator,
@@ -182,7 +182,6 @@
         self._has_record = False
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
-        self._pending_groups: frozenset[str] = frozenset()
         self._configuration = Configuration()
         # When each part was known to be current in the store.
         self._checked_at = dict.fromkeys(CHECK_PLANS, NEVER)
@@ -385,9 +384,7 @@
         }
         # No write later than the old revision existed at the time that confirmed it, so
         # none later than the new one did.
-        confirmed = RecordConfirmed(
-            record, revision, self._confirmed_at, self._pending_groups
-        )
+        confirmed = RecordConfirmed(record, revision, self._confirmed_at)
         emissions = [Emission("record", confirmed), *self._update_links()]
         if {item.name for item in before.coordinators} != names:
             fields = {"coordinators": sorted(names), "revision": revision}
@@ -409,14 +406,11 @@
         self._note_check("record", at)
         return self._confirm(at)
 
-    def _confirm(
-        self, at: float, pending_groups: frozenset[str] = frozenset()
-    ) -> list[Emission]:
-        if at <= self._confirmed_at and not self._pending_groups:
+    def _confirm(self, at: float) -> list[Emission]:
+        if at <= self._confirmed_at:
             return []
-        self._confirmed_at = max(at, self._confirmed_at)
-        self._pending_groups = pending_groups
-        confirmed = RecordConfirmed(self._record, self._revision, at, pending_groups)
+        self._confirmed_at = at
+        confirmed = RecordConfirmed(self._record, self._revision, at)
         return [Emission("record", confirmed)]
 
     def _learn_known(self, now: float) -> list[Emission]:
@@ -734,7 +728,6 @@
             incarnation=self._identity.incarnation,
             record_revision=self._revision,
             record_age_seconds=_find_age(self._confirmed_by_store_at, now),
-            pending_groups=self._list_pending_groups(),
             record=self._record if question.record_revision < self._revision else None,
             configuration=self._configuration
             if question.configuration_version < self._configuration.version
@@ -782,7 +775,6 @@
                 answer.incarnation,
                 asked_at,
                 answer.record_revision,
-                answer.pending_groups,
             )
         if answer.record_revision == self._revision:
             read_at = asked_at - answer.record_age_seconds
@@ -809,22 +801,11 @@
                 self._identity.incarnation,
                 now,
                 self._revision,
-                self._list_pending_groups(),
             )
-        word = find_unanimous_word(
+        at = find_unanimous_time(
             self._record, self._revision, words, self._confirmed_by_store_at, now
         )
-        return [] if word is None else self._confirm(word.at, word.pending_groups)
-
-    def _list_pending_groups(self) -> tuple[str, ...]:
-        """Groups that a write of this instance may still change."""
-        if self._write is None:
-            return ()
-        return tuple(
-            item.group
-            for item in self._write.record.groups
-            if item != self._record.find_group(item.group)
-        )
+        return [] if at is None else self._confirm(at)
 
     # Other instances
 
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -102,9 +102,7 @@
         self._data_centre = data_centre
         self._book = ConnectionBook()
         self._record = FleetRecord()
-        # When the record of each group was last known to be in force.
-        self._confirmed_at: dict[str, float] = {}
-        self._latest_at = NEVER
+        self._confirmed_at = NEVER
         self._directory = Directory()
         self._absent: dict[str, tuple[DatabaseEntry, float]] = {}
         self._positions: dict[str, PositionSeen] = {}
@@ -137,7 +135,9 @@
         if isinstance(message, TransactionAbandoned):
             return self._abandon(message.session_id)
         if isinstance(message, RecordConfirmed):
-            return self._take_record(message, now)
+            self._record = message.record
+            self._confirmed_at = max(self._confirmed_at, message.confirmed_at)
+            return self._tell_right(now)
         if isinstance(message, PositionSeen):
             self._merge_position(message)
         elif isinstance(message, DirectoryChanged):
@@ -210,21 +210,12 @@
             )
         self._positions[seen.group] = seen
 
-    def _take_record(self, message: RecordConfirmed, now: float) -> list[Emission]:
-        self._record = message.record
-        self._latest_at = max(self._latest_at, message.confirmed_at)
-        for item in message.record.groups:
-            if item.group not in message.pending_groups:
-                known = self._confirmed_at.get(item.group, NEVER)
-                self._confirmed_at[item.group] = max(known, message.confirmed_at)
-        return self._tell_right(now)
-
     def _find_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """The primary, if this instance has the right to use it now."""
         record = self._record.find_group(group)
         if record is None or record.phase is not GroupPhase.STEADY:
             return None
-        if now - self._confirmed_at.get(group, NEVER) > RIGHT_SECONDS:
+        if now - self._confirmed_at > RIGHT_SECONDS:
             return None
         entry = self._find_entry(record.primary, now)
         if entry is not None and record.primary_born_ms not in (0, entry.born_ms):
@@ -232,12 +223,12 @@
         return entry
 
     def _tell_right(self, now: float) -> list[Emission]:
-        has_right = now - self._latest_at <= RIGHT_SECONDS
+        has_right = now - self._confirmed_at <= RIGHT_SECONDS
         if has_right == self._has_right:
             return []
         self._has_right = has_right
         name = EventName.RIGHT_REGAINED if has_right else EventName.RIGHT_LOST
-        age = round(min(now - self._latest_at, 9999.0), 3)
+        age = round(min(now - self._confirmed_at, 9999.0), 3)
         return [Emission("events", Event(name, {"evidence_age_seconds": age}))]
 
     # Choice of a database
@@ -288,7 +279,7 @@
             chosen = primary
         if chosen is None:
             record = self._record.find_group(group)
-            age = min(now - self._confirmed_at.get(group, NEVER), 999.0)
+            age = min(now - self._confirmed_at, 999.0)
             phase = "none" if record is None else record.phase.value
             return self._refuse(
                 attempt,
@@ -305,7 +296,7 @@
     def _find_evidence_age(self, attempt: _Attempt, now: float) -> float | None:
         group = attempt.request.route.group
         if attempt.was_primary:
-            return now - self._confirmed_at.get(group, NEVER)
+            return now - self._confirmed_at
         seen = self._positions.get(group)
         return None if seen is None else now - seen.seen_at
 
