Give up the transaction of a client that left while its statement waited

Cause, found while reading: a first statement that waits for a token or a connection when its client leaves begins its transaction afterwards, and nobody ends it; the connection stays pinned. The test failed first.

--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -135,7 +135,7 @@
             emissions += self._adopt_record(message.record, message.revision, now)
             if message.revision == self._revision:
                 emissions += self._confirm_by_store(message.asked_at)
-            emissions += self._resolve_write(now)
+            self._resolve_write()
             emissions += self._start_write(now)
         elif isinstance(message, RecordWritten):
             self._write = None
@@ -317,11 +317,10 @@
         self._checks.hurry("record")
         return self._read_store(now)
 
-    def _resolve_write(self, now: float) -> list[Emission]:
+    def _resolve_write(self) -> None:
         """Forget a write that can no longer take effect."""
         if self._write is not None and self._revision > self._write.revision:
             self._write = None
-        return []
 
     # Configuration and databases
 
@@ -509,7 +508,7 @@
         if answer.directory is None or answer.directory == self._directory:
             self._checks.note("directory", read_at)
         emissions += self._tell_positions(answer.positions, asked_at)
-        emissions += self._resolve_write(now)
+        self._resolve_write()
         return emissions
 
     def _confirm_by_words(self, now: float) -> list[Emission]:
--- a/src/sardinemill/sessions/conversations.py
+++ b/src/sardinemill/sessions/conversations.py
@@ -322,7 +322,13 @@
         request = result.request
         session = self._sessions.get(request.session_id)
         emissions = self._tell_result(result, now)
-        if session is None or session.request is not request:
+        if session is None:
+            # The client left while its statement waited; it may have begun since.
+            if request.step is not TransactionStep.NONE:
+                abandoned = TransactionAbandoned(request.session_id)
+                emissions.append(Emission("abandoned", abandoned))
+            return emissions
+        if session.request is not request:
             return emissions
         session.request = None
         session.active_at = now
--- a/tests/test_sessions_conversations.py
+++ b/tests/test_sessions_conversations.py
@@ -253,3 +253,16 @@
     succeed(conversations, request_of(send(conversations, WRITE)))
     emissions = conversations.handle(SessionClosed(1), NOW)
     assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
+
+
+def test_client_that_leaves_while_its_statement_waits_holds_no_connection():
+    """Guards against a connection that stays in a transaction for ever: the statement
+    had no connection yet when the client left, and began its transaction afterwards.
+    """
+    conversations = open_session()
+    send(conversations, BEGIN)
+    request = request_of(send(conversations, WRITE))
+    conversations.handle(SessionClosed(1), NOW)
+    result = StatementResult(request=request, database="p", is_answered=True)
+    emissions = conversations.handle(result, NOW)
+    assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
