--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -23,7 +23,7 @@
     RoutesChanged,
     make_route_table,
 )
-from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_word
+from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_time
 from .messages import ContactReport, FleetAnswer, FleetQuestion, PositionReport
 from .records import (
     Coordinator,
@@ -182,7 +182,6 @@
         self._has_record = False
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
-        self._pending_groups: frozenset[str] = frozenset()
         self._configuration = Configuration()
         # When each part was known to be current in the store.
         self._checked_at = dict.fromkeys(CHECK_PLANS, NEVER)
@@ -213,6 +212,7 @@
         self._complete_at: float | None = None
         self._is_store_lost = False
         self._n_instances = 1
+        self._n_members = 1
         self._told_coordination: CoordinationChanged | None = None
         self._told_heard: CoordinatorsHeard | None = None
 
@@ -384,9 +384,7 @@
         }
         # No write later than the old revision existed at the time that confirmed it, so
         # none later than the new one did.
-        confirmed = RecordConfirmed(
-            record, revision, self._confirmed_at, self._pending_groups
-        )
+        confirmed = RecordConfirmed(record, revision, self._confirmed_at)
         emissions = [Emission("record", confirmed), *self._update_links()]
         if {item.name for item in before.coordinators} != names:
             fields = {"coordinators": sorted(names), "revision": revision}
@@ -408,14 +406,11 @@
         self._note_check("record", at)
         return self._confirm(at)
 
-    def _confirm(
-        self, at: float, pending_groups: frozenset[str] = frozenset()
-    ) -> list[Emission]:
-        if at <= self._confirmed_at and not self._pending_groups:
+    def _confirm(self, at: float) -> list[Emission]:
+        if at <= self._confirmed_at:
             return []
-        self._confirmed_at = max(at, self._confirmed_at)
-        self._pending_groups = pending_groups
-        confirmed = RecordConfirmed(self._record, self._revision, at, pending_groups)
+        self._confirmed_at = at
+        confirmed = RecordConfirmed(self._record, self._revision, at)
         return [Emission("record", confirmed)]
 
     def _learn_known(self, now: float) -> list[Emission]:
@@ -711,7 +706,13 @@
     def _take_question(self, question: FleetQuestion, now: float) -> list[Emission]:
         before = self._members.get(question.instance)
         self._members[question.instance] = (question, now)
-        emissions = self._update_links()
+        emissions = []
+        # Going through all members for each question would grow with their square.
+        if before is None or (before[0].host, before[0].port) != (
+            question.host,
+            question.port,
+        ):
+            emissions = self._update_links()
         sent_at = NEVER
         if before is not None and before[0].number == question.echo_number:
             # The asker had the answer to its earlier question for this time already.
@@ -727,7 +728,6 @@
             incarnation=self._identity.incarnation,
             record_revision=self._revision,
             record_age_seconds=_find_age(self._confirmed_by_store_at, now),
-            pending_groups=self._list_pending_groups(),
             record=self._record if question.record_revision < self._revision else None,
             configuration=self._configuration
             if question.configuration_version < self._configuration.version
@@ -739,7 +739,7 @@
             else None,
             directory_age_seconds=_find_age(self._checked_at["directory"], now),
             positions=self._make_position_reports(now),
-            n_instances=self._count_members(now),
+            n_instances=self._n_members,
         )
         emissions.append(
             Emission("peers", PeerEnvelope(peer=question.instance, message=answer))
@@ -775,7 +775,6 @@
                 answer.incarnation,
                 asked_at,
                 answer.record_revision,
-                answer.pending_groups,
             )
         if answer.record_revision == self._revision:
             read_at = asked_at - answer.record_age_seconds
@@ -802,22 +801,11 @@
                 self._identity.incarnation,
                 now,
                 self._revision,
-                self._list_pending_groups(),
             )
-        word = find_unanimous_word(
+        at = find_unanimous_time(
             self._record, self._revision, words, self._confirmed_by_store_at, now
         )
-        return [] if word is None else self._confirm(word.at, word.pending_groups)
-
-    def _list_pending_groups(self) -> tuple[str, ...]:
-        """Groups that a write of this instance may still change."""
-        if self._write is None:
-            return ()
-        return tuple(
-            item.group
-            for item in self._write.record.groups
-            if item != self._record.find_group(item.group)
-        )
+        return [] if at is None else self._confirm(at)
 
     # Other instances
 
@@ -850,6 +838,7 @@
     def _tell_coordination(self, now: float) -> list[Emission]:
         emissions = []
         names = [item.name for item in self._record.coordinators]
+        self._n_members = self._count_members(now)
         rank = self._find_rank()
         own = self._record.find_coordinator(self._identity.name)
         if self._is_leaving:
@@ -866,7 +855,7 @@
                 if name == self._identity.name
                 or now - self._heard.get(name, NEVER) < LONELY_SECONDS
             ),
-            max(self._n_instances, self._count_members(now)),
+            max(self._n_instances, self._n_members),
         )
         if heard != self._told_heard:
             self._told_heard = heard
