Abort a commit whose transaction lost its connection

A database crashed between the statements of a transaction; its connection ended while idle, and the COMMIT that followed found no connection. A commit without one was taken for that of an empty transaction: it began a new one elsewhere and committed it, which also told the client that lost writes were kept. Requests now say whether a database has begun their transaction.

Ruled out: the pool's reuse of connections (the transaction was on one connection up to the loss). Both new tests failed before.

--- a/src/sardinemill/sessions/conversations.py
+++ b/src/sardinemill/sessions/conversations.py
@@ -306,6 +306,7 @@
             floor=floor,
             received_at=now,
             deadline=now + route.timeout_seconds,
+            has_begun=session.transaction is not None and session.transaction.is_open,
         )
         session.request = request
         return [Emission("next", request)]
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -170,6 +170,8 @@
     :param starts_operation: counts against the workspace's rate limit.
     :param step: place in the transaction; a first statement begins it.
     :param is_read_only: neither the statement nor its transaction writes.
+    :param has_begun: a database has begun the transaction; it goes on there or not at
+        all.
     :param values: session values that the connection must have.
     :param prepared: definition of the prepared statement that it executes.
     :param floor: position of the session's last own write.
@@ -191,6 +193,7 @@
     floor: LogPosition
     received_at: float
     deadline: float
+    has_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -170,7 +170,7 @@
         pinned = self._book.find_pinned(request.session_id)
         if pinned is not None:
             return self._continue_transaction(attempt, pinned, now)
-        if request.step is TransactionStep.LATER:
+        if request.has_begun or request.step is TransactionStep.LATER:
             return self._refuse(attempt, ErrorCode.ABORTED, "the connection was lost")
         return self._place(attempt, now)
 
--- a/tests/test_sessions_conversations.py
+++ b/tests/test_sessions_conversations.py
@@ -266,3 +266,14 @@
     result = StatementResult(request=request, database="p", is_answered=True)
     emissions = conversations.handle(result, NOW)
     assert select(emissions, "abandoned") == [TransactionAbandoned(1)]
+
+
+def test_commit_tells_whether_a_database_has_begun_the_transaction():
+    """Guards against a commit of lost writes that passes for one of nothing."""
+    conversations = open_session()
+    send(conversations, BEGIN)
+    assert not request_of(send(conversations, COMMIT)).has_begun
+    conversations = open_session()
+    send(conversations, BEGIN)
+    succeed(conversations, request_of(send(conversations, WRITE)))
+    assert request_of(send(conversations, COMMIT)).has_begun
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -342,3 +342,30 @@
     emissions = placement.handle(finish(run), NOW + RIGHT_SECONDS + 0.01)
     (result,) = select(emissions, "result", StatementResult)
     assert (result.is_answered, result.effect) == (False, Effect.UNKNOWN)
+
+
+def test_commit_is_aborted_when_the_connection_of_its_transaction_was_lost():
+    """Guards against a commit that runs in an empty transaction on another connection
+    and tells the client that its lost writes are kept.
+
+    Found by a hunted day: reborn-behind-a-cut, seed 600334604301, rule PINNED.
+    """
+    placement = make_placement()
+    first = make_statement_request(
+        1, WRITE, BOOKINGS_ROUTE, step=TransactionStep.FIRST, session_id=7
+    )
+    run = ask(placement, first)
+    placement.handle(finish(run), NOW)
+    placement.handle(ConnectionFailed(run.number, None, "ended while idle"), NOW)
+    commit = make_statement_request(
+        2,
+        COMMIT,
+        BOOKINGS_ROUTE,
+        step=TransactionStep.COMMIT,
+        session_id=7,
+        has_begun=True,
+    )
+    emissions = placement.handle(commit, NOW)
+    (result,) = select(emissions, "result", StatementResult)
+    assert result.code is ErrorCode.ABORTED
+    assert select(emissions, "connections") == []
