--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -38,8 +38,9 @@
 HOLD_SECONDS = 6.0
 # Another coordinator takes over after this time; longer than the holder may act.
 TAKEOVER_SECONDS = HOLD_SECONDS + 2.0
-# The holder itself tries again sooner.
-RETRY_SECONDS = 1.0
+# A holder that abandoned its change tries again sooner, as does another coordinator
+# once the holder's process has ended; a call of it may still be on its way.
+RETRY_SECONDS = 1.5
 # Replicas are asked again at this interval.
 MEASURE_SECONDS = 0.25
 # Answers of replicas are waited for this long before the best of them is chosen.
@@ -137,8 +138,9 @@
 
     began_at: float
     record: GroupRecord
-    fence: int
+    reason: str
     is_planned: bool
+    fence: int = 0
     is_fresh: bool = True
     step: Step = Step.WAIT
     due_at: float = 0.0
@@ -178,7 +180,7 @@
         self._confirmed_at = NEVER
         self._directory = Directory()
         self._rank: int | None = None
-        self._may_change_at = 0.0
+        self._is_established = False
         self._alive_at: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
         self._groups: dict[str, _Group] = {}
@@ -198,7 +200,7 @@
             self._directory = message.directory
         elif isinstance(message, CoordinationChanged):
             self._rank = message.rank
-            self._may_change_at = message.may_change_at
+            self._is_established = message.is_established
         elif isinstance(message, DatabaseContact):
             self._note_contact(message.database, message.is_alive, message.at)
         elif isinstance(message, DatabaseStatus):
@@ -311,29 +313,17 @@
     def _propose_change(
         self, record: GroupRecord, state: _Group, reason: str, now: float
     ) -> list[Emission]:
-        if now < self._may_change_at or now - state.proposed_at < 1.0:
+        if not self._is_established or now - state.proposed_at < 1.0:
             return []
         state.proposed_at = now
         marked = replace(record, phase=GroupPhase.CHANGING)
         self._changes[record.group] = _Change(
             began_at=now,
             record=marked,
-            fence=0,
+            reason=reason,
             is_planned=reason == "leaving",
         )
-        fields = {
-            "group": record.group,
-            "primary": record.primary,
-            "reason": reason,
-            "rank": self._rank,
-            "silent_seconds": round(
-                min(now - self._alive_at.get(record.primary, NEVER), 999.0), 3
-            ),
-        }
-        return [
-            Emission("proposals", GroupProposed(marked, record, takes_fence=True)),
-            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
-        ]
+        return [Emission("proposals", GroupProposed(marked, record, takes_fence=True))]
 
     def _watch_change(
         self, record: GroupRecord, state: _Group, now: float
@@ -343,29 +333,32 @@
         if state.changing_since is None or state.changing_key != key:
             state.changing_since = now
             state.changing_key = key
-        if record.group in self._changes or now < self._may_change_at:
+        if record.group in self._changes or not self._is_established:
             return []
         assert self._rank is not None
         wait = TAKEOVER_SECONDS + self._rank * RANK_DELAY_SECONDS
-        if self._record.holder == self._instance:
-            wait = RETRY_SECONDS
+        if self._is_holder_gone():
+            wait = RETRY_SECONDS + self._rank * RANK_DELAY_SECONDS
         if now - state.changing_since < wait or now - state.proposed_at < 1.0:
             return []
         state.proposed_at = now
         again = replace(record, attempt=record.attempt + 1)
         self._changes[record.group] = _Change(
-            began_at=now, record=again, fence=0, is_planned=False, is_fresh=False
+            began_at=now,
+            record=again,
+            reason=f"{self._record.holder} did not finish",
+            is_planned=False,
+            is_fresh=False,
         )
-        fields = {
-            "group": record.group,
-            "primary": record.primary,
-            "reason": f"{self._record.holder} did not finish",
-            "rank": self._rank,
-        }
-        return [
-            Emission("proposals", GroupProposed(again, record, takes_fence=True)),
-            Emission("events", Event(EventName.CHANGE_STARTED, fields)),
-        ]
+        return [Emission("proposals", GroupProposed(again, record, takes_fence=True))]
+
+    def _is_holder_gone(self) -> bool:
+        """Tell whether the holder's process has ended, or is this one."""
+        holder = self._record.find_coordinator(self._record.holder)
+        if self._record.holder == self._instance:
+            return True
+        incarnation = self._record.holder_incarnation
+        return holder is not None and holder.incarnation != incarnation
 
     # Steps of a change
 
@@ -398,6 +391,7 @@
                 # The write has taken effect: later evidence shows it.
                 change.fence = self._record.fence
                 change.due_at = now + RIGHT_SECONDS + RIGHT_MARGIN_SECONDS
+                return [self._tell_started(change, now)]
             elif now - change.began_at > HOLD_SECONDS / 3:
                 del self._changes[name]
             return []
@@ -408,6 +402,19 @@
         change.due_at = now
         return self._measure(name, change, now)
 
+    def _tell_started(self, change: _Change, now: float) -> Emission:
+        primary = change.record.primary
+        alive_at = self._alive_at.get(primary, NEVER)
+        fields = {
+            "group": change.record.group,
+            "primary": primary,
+            "reason": change.reason,
+            "rank": self._rank,
+            "fence": change.fence,
+            "silent_seconds": round(min(now - alive_at, 999.0), 3),
+        }
+        return Emission("events", Event(EventName.CHANGE_STARTED, fields))
+
     def _measure(self, name: str, change: _Change, now: float) -> list[Emission]:
         targets = [
             item
