--- a/src/sardinemill/fleet/evidence.py
+++ b/src/sardinemill/fleet/evidence.py
@@ -19,9 +19,10 @@
 
 # Long enough for three questions to the coordinators, short enough that a change of
 # primary ends within the 5 s of the target.
-RIGHT_SECONDS = 1.8
-# Covers the time that a statement sent just in time needs to reach the database.
-RIGHT_MARGIN_SECONDS = 0.4
+RIGHT_SECONDS = 1.3
+# Covers the time that a statement sent just in time needs to reach the database. A
+# write that is answered after the right has ended is not acknowledged.
+RIGHT_MARGIN_SECONDS = 0.3
 # The word of the coordinators counts this long after the list of them was confirmed.
 # It bridges an outage of the store of this length.
 WORD_SECONDS = 7.0
@@ -35,35 +36,25 @@
 
     :param asked_at: when the question was sent, on the local clock.
     :param revision: of the record that the coordinator knew.
-    :param pending_groups: groups that a write of it may still change.
     """
 
     incarnation: str
     asked_at: float
     revision: int
-    pending_groups: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class UnanimousWord:
-    """What all coordinators said.
-
-    :param at: time at which none of them had written anything.
-    :param pending_groups: groups for which that does not hold.
-    """
-
-    at: float
-    pending_groups: frozenset[str]
-
-
-def find_unanimous_word(
+def find_unanimous_time(
     record: FleetRecord,
     revision: int,
     words: Mapping[str, CoordinatorWord],
     confirmed_by_store_at: float,
     now: float,
-) -> UnanimousWord | None:
-    """Find the latest time at which all coordinators had written nothing.
+) -> float | None:
+    """Find the latest time at which no coordinator knew of a later write.
+
+    A write that is on its way, or whose answer was lost, does no harm: its author
+    counts the time to wait from when it learns that the write has taken effect, and
+    its words name the new revision from then on.
 
     :param words: last word of each coordinator by name.
     :param confirmed_by_store_at: when the record was last known to be in the store.
@@ -72,7 +63,6 @@
     if not record.coordinators or now - confirmed_by_store_at > WORD_SECONDS:
         return None
     times: list[float] = []
-    pending: set[str] = set()
     for coordinator in record.coordinators:
         word = words.get(coordinator.name)
         if (
@@ -82,5 +72,4 @@
         ):
             return None
         times.append(word.asked_at)
-        pending.update(word.pending_groups)
-    return UnanimousWord(min(times), frozenset(pending))
+    return min(times)
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -23,7 +23,7 @@
     RoutesChanged,
     make_route_table,
 )
-from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_word
+from .evidence import JOIN_SECONDS, CoordinatorWord, find_unanimous_time
 from .messages import ContactReport, FleetAnswer, FleetQuestion, PositionReport
 from .records import (
     Coordinator,
@@ -50,12 +50,14 @@
 )
 
 TICK_SECONDS = 0.1
-# Four questions fit into the time for which a right lasts.
-ASK_SECONDS = 0.5
+# Three questions fit into the time for which a right lasts.
+ASK_SECONDS = 0.4
 # Without an answer for this time a coordinator counts as out of reach.
 LONELY_SECONDS = 1.2
 # Ages in messages; what was never seen has this one.
 MAX_AGE_SECONDS = 1e9
+# An instance that knows everything but no coordinator becomes ready after this time.
+ALONE_SECONDS = 2.0
 # A coordinator that is silent for this time is replaced.
 SILENCE_SECONDS = 2.0
 # An instance that hears no coordinator at all is more likely to be cut off itself.
@@ -70,7 +72,7 @@
 NEVER = float("-inf")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(frozen=True, slots=True)
 class CheckPlan:
     """Ages of knowledge at which instances read the store.
 
@@ -82,23 +84,24 @@
     :param rank_seconds: added for each place further down the list.
     :param other_seconds: at all other instances; above the age that an answer has in
         calm times, which is ``seconds`` and the interval of questions.
+    :param jitter_seconds: at most added at others, so that they do not read at once.
     """
 
     seconds: float
     rank_seconds: float
     other_seconds: float
+    jitter_seconds: float
 
 
 # Watches of the store may hear nothing for seconds, so everything is read.
 CHECK_PLANS = {
-    # Rights to primaries last 1.8 s from here.
-    "record": CheckPlan(seconds=0.8, rank_seconds=0.25, other_seconds=1.5),
+    # Rights to primaries last 1.3 s from here.
+    "record": CheckPlan(0.4, 0.15, 0.85, 0.1),
     # A leaving database must get no more work 7 s after its entry changed.
-    "directory": CheckPlan(seconds=1.5, rank_seconds=0.5, other_seconds=3.0),
+    "directory": CheckPlan(1.5, 0.5, 3.0, 0.3),
     # A configuration has to be in force everywhere within 3 s.
-    "configuration": CheckPlan(seconds=1.0, rank_seconds=0.3, other_seconds=2.0),
+    "configuration": CheckPlan(1.0, 0.3, 2.0, 0.3),
 }
-CHECK_JITTER_SECONDS = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,11 +182,10 @@
         self._has_record = False
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
-        self._pending_groups: frozenset[str] = frozenset()
         self._configuration = Configuration()
         # When each part was known to be current in the store.
         self._checked_at = dict.fromkeys(CHECK_PLANS, NEVER)
-        self._check_jitter = CHECK_JITTER_SECONDS * random.random()
+        self._check_jitter = random.random()
         self._directory = Directory()
         self._digest = ""
         self._directory_read_at = NEVER
@@ -207,8 +209,10 @@
         self._proposals: dict[str, GroupProposed] = {}
         self._is_leaving = False
         self._is_known = False
+        self._complete_at: float | None = None
         self._is_store_lost = False
         self._n_instances = 1
+        self._n_members = 1
         self._told_coordination: CoordinationChanged | None = None
         self._told_heard: CoordinatorsHeard | None = None
 
@@ -271,9 +275,13 @@
             self._ask_at = now + ASK_SECONDS
             emissions += self._ask_coordinators(now)
         emissions += self._poll_store(now)
+        if self._is_coordinator():
+            # A coordinator without others has no answers to learn this from.
+            emissions += self._confirm_by_words(now)
         emissions += self._consider_joining(now)
         emissions += self._start_write(now)
         emissions += self._tell_coordination(now)
+        emissions += self._learn_known(now)
         return emissions
 
     # The store
@@ -303,7 +311,7 @@
         """When this instance has to look by itself."""
         plan = CHECK_PLANS[kind]
         rank = self._find_rank()
-        wait = plan.other_seconds + self._check_jitter
+        wait = plan.other_seconds + plan.jitter_seconds * self._check_jitter
         if rank is not None:
             wait = plan.seconds + rank * plan.rank_seconds
         return self._checked_at[kind] + wait
@@ -376,9 +384,7 @@
         }
         # No write later than the old revision existed at the time that confirmed it, so
         # none later than the new one did.
-        confirmed = RecordConfirmed(
-            record, revision, self._confirmed_at, self._pending_groups
-        )
+        confirmed = RecordConfirmed(record, revision, self._confirmed_at)
         emissions = [Emission("record", confirmed), *self._update_links()]
         if {item.name for item in before.coordinators} != names:
             fields = {"coordinators": sorted(names), "revision": revision}
@@ -398,25 +404,29 @@
     def _confirm_by_store(self, at: float) -> list[Emission]:
         self._confirmed_by_store_at = max(self._confirmed_by_store_at, at)
         self._note_check("record", at)
-        return self._confirm(at) + self._learn_known()
+        return self._confirm(at)
 
-    def _confirm(
-        self, at: float, pending_groups: frozenset[str] = frozenset()
-    ) -> list[Emission]:
-        if at <= self._confirmed_at and not self._pending_groups:
+    def _confirm(self, at: float) -> list[Emission]:
+        if at <= self._confirmed_at:
             return []
-        self._confirmed_at = max(at, self._confirmed_at)
-        self._pending_groups = pending_groups
-        confirmed = RecordConfirmed(self._record, self._revision, at, pending_groups)
+        self._confirmed_at = at
+        confirmed = RecordConfirmed(self._record, self._revision, at)
         return [Emission("record", confirmed)]
 
-    def _learn_known(self) -> list[Emission]:
+    def _learn_known(self, now: float) -> list[Emission]:
         if self._is_known or not (
             self._configuration.version
             and self._directory.databases
             and self._record.coordinators
         ):
             return []
+        if self._complete_at is None:
+            self._complete_at = now
+        # Without a coordinator there are no tokens to admit operations with. Behind a
+        # cut there may be none for long, and a part of the load is served all the same.
+        is_alone = not self._heard and not self._is_coordinator()
+        if is_alone and now - self._complete_at < ALONE_SECONDS:
+            return []
         self._is_known = True
         return [Emission("known", FleetKnown())]
 
@@ -568,7 +578,6 @@
         return [
             Emission("routes", RoutesChanged(make_route_table(configuration))),
             Emission("events", Event(EventName.CONFIGURATION_ADOPTED, fields)),
-            *self._learn_known(),
         ]
 
     def _adopt_directory(self, directory: Directory, read_at: float) -> list[Emission]:
@@ -588,7 +597,6 @@
                     {"n_databases": len(directory.databases), "digest": self._digest},
                 ),
             ),
-            *self._learn_known(),
         ]
 
     # Positions and contacts
@@ -698,7 +706,13 @@
     def _take_question(self, question: FleetQuestion, now: float) -> list[Emission]:
         before = self._members.get(question.instance)
         self._members[question.instance] = (question, now)
-        emissions = self._update_links()
+        emissions = []
+        # Going through all members for each question would grow with their square.
+        if before is None or (before[0].host, before[0].port) != (
+            question.host,
+            question.port,
+        ):
+            emissions = self._update_links()
         sent_at = NEVER
         if before is not None and before[0].number == question.echo_number:
             # The asker had the answer to its earlier question for this time already.
@@ -714,7 +728,6 @@
             incarnation=self._identity.incarnation,
             record_revision=self._revision,
             record_age_seconds=_find_age(self._confirmed_by_store_at, now),
-            pending_groups=self._list_pending_groups(),
             record=self._record if question.record_revision < self._revision else None,
             configuration=self._configuration
             if question.configuration_version < self._configuration.version
@@ -726,7 +739,7 @@
             else None,
             directory_age_seconds=_find_age(self._checked_at["directory"], now),
             positions=self._make_position_reports(now),
-            n_instances=self._count_members(now),
+            n_instances=self._n_members,
         )
         emissions.append(
             Emission("peers", PeerEnvelope(peer=question.instance, message=answer))
@@ -762,7 +775,6 @@
                 answer.incarnation,
                 asked_at,
                 answer.record_revision,
-                answer.pending_groups,
             )
         if answer.record_revision == self._revision:
             read_at = asked_at - answer.record_age_seconds
@@ -789,22 +801,11 @@
                 self._identity.incarnation,
                 now,
                 self._revision,
-                self._list_pending_groups(),
             )
-        word = find_unanimous_word(
+        at = find_unanimous_time(
             self._record, self._revision, words, self._confirmed_by_store_at, now
         )
-        return [] if word is None else self._confirm(word.at, word.pending_groups)
-
-    def _list_pending_groups(self) -> tuple[str, ...]:
-        """Groups that a write of this instance may still change."""
-        if self._write is None:
-            return ()
-        return tuple(
-            item.group
-            for item in self._write.record.groups
-            if item != self._record.find_group(item.group)
-        )
+        return [] if at is None else self._confirm(at)
 
     # Other instances
 
@@ -837,6 +838,7 @@
     def _tell_coordination(self, now: float) -> list[Emission]:
         emissions = []
         names = [item.name for item in self._record.coordinators]
+        self._n_members = self._count_members(now)
         rank = self._find_rank()
         own = self._record.find_coordinator(self._identity.name)
         if self._is_leaving:
@@ -853,7 +855,7 @@
                 if name == self._identity.name
                 or now - self._heard.get(name, NEVER) < LONELY_SECONDS
             ),
-            max(self._n_instances, self._count_members(now)),
+            max(self._n_instances, self._n_members),
         )
         if heard != self._told_heard:
             self._told_heard = heard
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -67,7 +67,7 @@
 TICK_SECONDS = 0.1
 
 # Costs that add up to the preference between databases, in statements that wait.
-REMOTE_COST = 0.15
+REMOTE_COST = 0.4
 NO_CONNECTION_COST = 0.35
 PRIMARY_COST = 0.6
 AVOIDED_COST = 100.0
@@ -86,6 +86,7 @@
     n_attempts: int = 0
     was_primary: bool = False
     after: LogPosition | None = None
+    evidence_age_seconds: float | None = None
 
 
 class Placement:
@@ -101,9 +102,7 @@
         self._data_centre = data_centre
         self._book = ConnectionBook()
         self._record = FleetRecord()
-        # When the record of each group was last known to be in force.
-        self._confirmed_at: dict[str, float] = {}
-        self._latest_at = NEVER
+        self._confirmed_at = NEVER
         self._directory = Directory()
         self._absent: dict[str, tuple[DatabaseEntry, float]] = {}
         self._positions: dict[str, PositionSeen] = {}
@@ -136,7 +135,9 @@
         if isinstance(message, TransactionAbandoned):
             return self._abandon(message.session_id)
         if isinstance(message, RecordConfirmed):
-            return self._take_record(message, now)
+            self._record = message.record
+            self._confirmed_at = max(self._confirmed_at, message.confirmed_at)
+            return self._tell_right(now)
         if isinstance(message, PositionSeen):
             self._merge_position(message)
         elif isinstance(message, DirectoryChanged):
@@ -209,21 +210,12 @@
             )
         self._positions[seen.group] = seen
 
-    def _take_record(self, message: RecordConfirmed, now: float) -> list[Emission]:
-        self._record = message.record
-        self._latest_at = max(self._latest_at, message.confirmed_at)
-        for item in message.record.groups:
-            if item.group not in message.pending_groups:
-                known = self._confirmed_at.get(item.group, NEVER)
-                self._confirmed_at[item.group] = max(known, message.confirmed_at)
-        return self._tell_right(now)
-
     def _find_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """The primary, if this instance has the right to use it now."""
         record = self._record.find_group(group)
         if record is None or record.phase is not GroupPhase.STEADY:
             return None
-        if now - self._confirmed_at.get(group, NEVER) > RIGHT_SECONDS:
+        if now - self._confirmed_at > RIGHT_SECONDS:
             return None
         entry = self._find_entry(record.primary, now)
         if entry is not None and record.primary_born_ms not in (0, entry.born_ms):
@@ -231,12 +223,12 @@
         return entry
 
     def _tell_right(self, now: float) -> list[Emission]:
-        has_right = now - self._latest_at <= RIGHT_SECONDS
+        has_right = now - self._confirmed_at <= RIGHT_SECONDS
         if has_right == self._has_right:
             return []
         self._has_right = has_right
         name = EventName.RIGHT_REGAINED if has_right else EventName.RIGHT_LOST
-        age = round(min(now - self._latest_at, 9999.0), 3)
+        age = round(min(now - self._confirmed_at, 9999.0), 3)
         return [Emission("events", Event(name, {"evidence_age_seconds": age}))]
 
     # Choice of a database
@@ -287,19 +279,27 @@
             chosen = primary
         if chosen is None:
             record = self._record.find_group(group)
-            age = min(now - self._confirmed_at.get(group, NEVER), 999.0)
+            age = min(now - self._confirmed_at, 999.0)
             phase = "none" if record is None else record.phase.value
             return self._refuse(
                 attempt,
                 ErrorCode.BUSY,
-                f"no database to use: primary {phase}, evidence {age:.2f} s old;"
-                " retry after 0.5 s",
+                f"no database to use: primary {phase}, right {age:.2f} s old,"
+                f" {len(attempt.tried)} tried; retry after 0.5 s",
             )
         attempt.was_primary = primary is not None and chosen.name == primary.name
         attempt.after = None if attempt.was_primary else after
         attempt.n_attempts += 1
+        attempt.evidence_age_seconds = self._find_evidence_age(attempt, now)
         return self._dispatch(attempt, chosen, now)
 
+    def _find_evidence_age(self, attempt: _Attempt, now: float) -> float | None:
+        group = attempt.request.route.group
+        if attempt.was_primary:
+            return now - self._confirmed_at
+        seen = self._positions.get(group)
+        return None if seen is None else now - seen.seen_at
+
     def _find_floor(self, request: StatementRequest, now: float) -> LogPosition | None:
         """Position that a replica needs, ``None`` when the evidence is too old."""
         seen = self._positions.get(request.route.group)
@@ -492,6 +492,14 @@
         if attempt.was_primary and has_run and message.position is not None:
             emissions += self._note_position(request, message)
         if message.is_answered and message.code is None and has_run:
+            if self._is_late_write(request, connection.database, now):
+                return emissions + self._finish_attempt(
+                    request,
+                    connection.database,
+                    now,
+                    message="the primary may have been replaced meanwhile",
+                    effect=Effect.UNKNOWN,
+                )
             del self._attempts[request.request_id]
             result = StatementResult(
                 request=request,
@@ -501,6 +509,9 @@
                 position=message.position,
                 asked_at=message.asked_at,
                 is_answered=True,
+                after=attempt.after,
+                evidence_age_seconds=attempt.evidence_age_seconds,
+                n_attempts=attempt.n_attempts,
             )
             return [*emissions, Emission("result", result)]
         return emissions + self._finish_attempt(
@@ -513,6 +524,16 @@
             effect=_find_effect(request, message),
         )
 
+    def _is_late_write(
+        self, request: StatementRequest, database: str, now: float
+    ) -> bool:
+        """Tell whether a write was answered after the right to its primary ended."""
+        ends = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
+        if request.is_read_only or not ends:
+            return False
+        primary = self._find_primary(request.route.group, now)
+        return primary is None or primary.name != database
+
     def _settle_connection(
         self,
         connection: Connection,
@@ -602,13 +623,14 @@
         attempt.tried.add(database)
         if self._may_retry(attempt, code, effect, now):
             fields = {
-                "statement_id": request.statement_id,
+                "request_id": request.statement_id,
+                "group": request.route.group,
                 "database": database,
                 "code": None if code is None else code.value,
                 "effect": effect.value,
                 "reason": message,
                 "n_attempts": attempt.n_attempts,
-                "after": _format_position(attempt.after),
+                "after": "-" if attempt.after is None else str(attempt.after),
             }
             event = Emission("events", Event(EventName.STATEMENT_RETRIED, fields))
             return [event, *self._place(attempt, now)]
@@ -623,6 +645,9 @@
             message=message,
             is_answered=is_answered,
             effect=effect,
+            after=attempt.after,
+            evidence_age_seconds=attempt.evidence_age_seconds,
+            n_attempts=attempt.n_attempts,
         )
         return [Emission("result", result)]
 
@@ -656,7 +681,3 @@
     if ends_write and not request.is_read_only:
         return Effect.UNKNOWN
     return Effect.ROLLED_BACK
-
-
-def _format_position(position: LogPosition | None) -> str:
-    return "-" if position is None else f"{position.term}.{position.offset}"
