Establish new coordinators by the word of an established one

All instances restart in turn. At 33.5 s a data centre is cut off, at 34.5 s front-almaty-b-1 marks two groups as changing, at 35.0 s it is told to stop, leaves the list of coordinators and with it its two changes. The only other established coordinator is behind the cut; the three that joined since wait 8.6 s each and are restarted or replaced before. Both groups stand still until 54 s: 20 s, against a target of 5 s.

Change: a new coordinator waits for the word of an established one that it knows of the new list, and then for the rights to end (1.6 s): such a word agrees with no older list, and nobody counts on a list without an established coordinator. Without such a word it waits 8.6 s as before. A coordinator that is told to stop ends its changes first, for 4 s at most, and begins none.

Tests: the model of faults now stops instances gracefully too, and finds the break when the word of any coordinator counts. The test that a coordinator in another place is established late is replaced by two: soon with such a word, late without.

--- a/src/sardinemill/fleet/joining.py
+++ b/src/sardinemill/fleet/joining.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from ..interfaces import RandomSource
-from .evidence import JOIN_SECONDS
+from .evidence import JOIN_SECONDS, RIGHT_MARGIN_SECONDS, RIGHT_SECONDS
 from .records import Coordinator, FleetRecord
 from .views import Identity
 
@@ -28,6 +28,9 @@
         self._first_asked: dict[str, float] = {}
         self._heard: dict[str, float] = {}
         self._joined_at: float | None = None
+        self._joined_revision = 0
+        # When an established coordinator was first known to know of this one.
+        self._known_at: float | None = None
         self._due_at: float | None = None
         self.is_leaving = False
 
@@ -59,7 +62,7 @@
 
     # What happens
 
-    def note_record(self, record: FleetRecord, now: float) -> None:
+    def note_record(self, record: FleetRecord, revision: int, now: float) -> None:
         """Another list of coordinators changes who should join, and when."""
         names = {item.name for item in record.coordinators}
         self._heard = {name: at for name, at in self._heard.items() if name in names}
@@ -68,9 +71,10 @@
         }
         self._due_at = None
         if not self.is_coordinator(record):
-            self._joined_at = None
+            self._joined_at = self._known_at = None
         elif self._joined_at is None:
             self._joined_at = now
+            self._joined_revision = revision
 
     def note_asked(self, name: str, now: float) -> None:
         """A question went to an instance."""
@@ -80,6 +84,17 @@
         """A coordinator answered."""
         self._heard[name] = max(self._heard.get(name, NEVER), now)
 
+    def note_word(self, coordinator: Coordinator, revision: int, now: float) -> None:
+        """A coordinator said which revision of the record it knows.
+
+        Nobody counts on the words of a list without an established coordinator. From
+        the time at which such a one knows of this instance, its word is no longer the
+        same as that of those who do not, and agrees with no older list.
+        """
+        is_aware = self._joined_at is not None and revision >= self._joined_revision
+        if is_aware and coordinator.is_established and self._known_at is None:
+            self._known_at = now
+
     def note_pause(self) -> None:
         """This instance was paused; the others' silence says nothing."""
         self._first_asked.clear()
@@ -149,10 +164,7 @@
         if own is None:
             return False
         if own.incarnation == self._identity.incarnation:
-            has_waited = (
-                self._joined_at is not None and now - self._joined_at > JOIN_SECONDS
-            )
-            return own.is_established or has_waited
+            return own.is_established or self._has_waited(now)
         # This process has the address of its predecessor, which is dead: no list that
         # names the predecessor can be unanimous any more.
         is_same_place = (own.host, own.port) == (
@@ -161,6 +173,13 @@
         )
         return own.is_established and is_same_place
 
+    def _has_waited(self, now: float) -> bool:
+        """Tell whether the rights that rest on older lists have ended."""
+        if self._joined_at is not None and now - self._joined_at > JOIN_SECONDS:
+            return True
+        wait = RIGHT_SECONDS + RIGHT_MARGIN_SECONDS
+        return self._known_at is not None and now - self._known_at > wait
+
     def _find_last_sign(self, name: str) -> float:
         return max(self._heard.get(name, NEVER), self._first_asked.get(name, NEVER))
 
--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -12,6 +12,7 @@
 
 from ..events import Event, EventName
 from ..interfaces import Emission
+from ..sessions.messages import DrainStarted
 from .evidence import RIGHT_MARGIN_SECONDS, RIGHT_SECONDS
 from .orders import (
     AskStatus,
@@ -30,6 +31,7 @@
 )
 from .suspicion import DEAD_SECONDS, LEAVING, UNREACHABLE, PrimaryWatch
 from .views import (
+    ChangesRunning,
     CoordinationChanged,
     DatabaseContact,
     DirectoryChanged,
@@ -107,7 +109,8 @@
 class Promotion:
     """Decides when a primary is replaced and by which database.
 
-    Outlets: ``proposals`` (:class:`GroupProposed`), ``databases`` (:class:`AskStatus`,
+    Outlets: ``proposals`` (:class:`GroupProposed`), ``running``
+    (:class:`ChangesRunning`), ``databases`` (:class:`AskStatus`,
     :class:`ProbeDatabase`, :class:`OrderDemotion`), ``platform``
     (:class:`OrderPromotion`), ``events``.
 
@@ -122,6 +125,8 @@
         self._directory = Directory()
         self._rank: int | None = None
         self._is_established = False
+        self._is_leaving = False
+        self._n_told = 0
         self._watch = PrimaryWatch()
         self._groups: dict[str, _Group] = {}
         self._changes: dict[str, _Change] = {}
@@ -141,6 +146,8 @@
         elif isinstance(message, CoordinationChanged):
             self._rank = message.rank
             self._is_established = message.is_established
+        elif isinstance(message, DrainStarted):
+            self._is_leaving = True
         elif isinstance(message, DatabaseContact):
             self._watch.note(message)
         elif isinstance(message, DatabaseStatus):
@@ -154,13 +161,20 @@
         if self._rank is None:
             self._changes.clear()
             self._groups.clear()
-            return ()
+            return self._tell_running()
         emissions: list[Emission] = []
         for name in sorted({item.group for item in self._directory.databases}):
             emissions += self._watch_group(name, now)
         for name in list(self._changes):
             emissions += self._advance(name, now)
-        return emissions + self._order_demotions(now)
+        emissions += self._order_demotions(now)
+        return [*self._tell_running(), *emissions]
+
+    def _tell_running(self) -> list[Emission]:
+        if len(self._changes) == self._n_told:
+            return []
+        self._n_told = len(self._changes)
+        return [Emission("running", ChangesRunning(self._n_told))]
 
     # Whether a change is needed
 
@@ -224,10 +238,14 @@
         state.probe_due_at = now + PROBE_SECONDS
         return [Emission("databases", ProbeDatabase(entry))]
 
+    @property
+    def _may_begin(self) -> bool:
+        return self._is_established and not self._is_leaving
+
     def _propose_change(
         self, record: GroupRecord, state: _Group, reason: str, now: float
     ) -> list[Emission]:
-        if not self._is_established or now - state.proposed_at < 1.0:
+        if not self._may_begin or now - state.proposed_at < 1.0:
             return []
         state.proposed_at = now
         marked = replace(record, phase=GroupPhase.CHANGING)
@@ -247,7 +265,7 @@
         if state.changing_since is None or state.changing_key != key:
             state.changing_since = now
             state.changing_key = key
-        if record.group in self._changes or not self._is_established:
+        if record.group in self._changes or not self._may_begin:
             return []
         assert self._rank is not None
         wait = TAKEOVER_SECONDS + self._rank * RANK_DELAY_SECONDS
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -45,6 +45,7 @@
     WriteRecord,
 )
 from .views import (
+    ChangesRunning,
     CoordinationChanged,
     CoordinatorsHeard,
     DatabaseContact,
@@ -63,6 +64,9 @@
 ALONE_SECONDS = 2.0
 # A write of the record without an answer is made again after this time.
 WRITE_RETRY_SECONDS = 2.0
+# A coordinator that is told to stop ends its changes first, for at most this time. It
+# leaves time to change the list before the process is killed, 6 s after the order.
+LEAVE_SECONDS = 4.0
 # A tick that is late by more than this means that the instance was paused.
 PAUSE_SECONDS = 1.0
 NEVER = float("-inf")
@@ -97,6 +101,8 @@
         self._asking = Asking()
         self._askers = Askers()
         self._ask_at = NEVER
+        self._leave_at: float | None = None
+        self._n_changes = 0
         self._known_peers: tuple[InstanceInfo, ...] = ()
         self._contacts: dict[str, DatabaseContact] = {}
         self._proposals: dict[str, GroupProposed] = {}
@@ -123,9 +129,12 @@
         if isinstance(message, GroupProposed):
             self._proposals[message.group.group] = message
             return self._start_write(now)
+        if isinstance(message, ChangesRunning):
+            self._n_changes = message.n_changes
+            return self._leave_list(now)
         if isinstance(message, DrainStarted):
-            self._joining.is_leaving = True
-            return self._start_write(now)
+            self._leave_at = now + LEAVE_SECONDS
+            return self._leave_list(now)
         if isinstance(message, StoreFailed):
             return self._take_failure(message, now)
         return self._take_store_outcome(message, now)
@@ -168,6 +177,7 @@
         if self._joining.is_coordinator(self._record):
             # A coordinator without others has no answers to learn this from.
             emissions += self._confirm_by_words(now)
+        emissions += self._leave_list(now)
         if self._has_record:
             self._joining.consider(self._record, now)
         emissions += self._start_write(now)
@@ -217,7 +227,7 @@
         before = self._record
         self._record = record
         self._revision = revision
-        self._joining.note_record(record, now)
+        self._joining.note_record(record, revision, now)
         names = {item.name for item in record.coordinators}
         self._words = {name: w for name, w in self._words.items() if name in names}
         # No write later than the old revision existed at the time that confirmed it, so
@@ -281,6 +291,15 @@
         self._write_retry_at = now + WRITE_RETRY_SECONDS
         return [Emission("store", self._write)]
 
+    def _leave_list(self, now: float) -> list[Emission]:
+        """Leave the list of coordinators once told to stop and no change runs."""
+        if self._leave_at is None or self._joining.is_leaving:
+            return []
+        if self._n_changes and now < self._leave_at:
+            return []
+        self._joining.is_leaving = True
+        return [*self._start_write(now), *self._tell_coordination(now)]
+
     def _apply_changes(self, now: float) -> FleetRecord:
         record = self._joining.apply(self._record, now)
         for name, proposal in list(self._proposals.items()):
@@ -509,11 +528,9 @@
         if answer.record is not None:
             emissions += self._adopt_record(answer.record, answer.record_revision, now)
         coordinator = self._record.find_coordinator(peer)
-        is_coordinator = (
-            coordinator is not None and coordinator.incarnation == answer.incarnation
-        )
-        if is_coordinator:
+        if coordinator is not None and coordinator.incarnation == answer.incarnation:
             self._joining.note_heard(peer, now)
+            self._joining.note_word(coordinator, answer.record_revision, now)
             self._n_instances = max(answer.n_instances, 1)
             self._words[peer] = CoordinatorWord(
                 answer.incarnation,
--- a/src/sardinemill/fleet/views.py
+++ b/src/sardinemill/fleet/views.py
@@ -85,6 +85,13 @@
     is_established: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ChangesRunning:
+    """Number of changes of primaries that this instance carries out."""
+
+    n_changes: int
+
+
 @dataclass(frozen=True, slots=True)
 class CoordinatorsHeard:
     """Coordinators that answered recently, in the order of the record."""
--- a/src/sardinemill/serving.py
+++ b/src/sardinemill/serving.py
@@ -11,7 +11,7 @@
 from .fleet.promotion import Promotion
 from .fleet.state import FleetState
 from .fleet.tokens import TokenLending
-from .fleet.views import FleetKnown, Identity
+from .fleet.views import ChangesRunning, FleetKnown, Identity
 from .interfaces import Clock, Emission, Filter, Outlet, RandomSource
 from .outlets import EnvelopeRouter, FanOut
 from .pipeline import Stage
@@ -87,16 +87,36 @@
         return self._is_known and not self._is_leaving
 
 
+class RunningChanges:
+    """Whether this instance carries out changes of primaries."""
+
+    def __init__(self) -> None:
+        self.n_changes = 0
+
+    def offer(self, message: object) -> bool:
+        """Take :class:`ChangesRunning`."""
+        if isinstance(message, ChangesRunning):
+            self.n_changes = message.n_changes
+        return True
+
+
 class GracefulStop:
     """Part whose drain ends the sessions within the time to stop.
 
+    :param changes: are carried through as far as the time allows.
     :param announce: receives :class:`DrainStarted`.
     """
 
     def __init__(
-        self, listener: ListenerPart, announce: Outlet, clock: Clock, seconds: float
+        self,
+        listener: ListenerPart,
+        changes: RunningChanges,
+        announce: Outlet,
+        clock: Clock,
+        seconds: float,
     ) -> None:
         self._listener = listener
+        self._changes = changes
         self._announce = announce
         self._clock = clock
         self.seconds = seconds
@@ -113,7 +133,7 @@
         last = began_at + self.seconds * LAST_FRACTION
         while self._clock.now() < last:
             await self._listener.close_idle()
-            if self._listener.n_sessions == 0:
+            if self._listener.n_sessions == 0 and self._changes.n_changes == 0:
                 return
             await self._clock.sleep(DRAIN_CHECK_SECONDS)
 
@@ -171,8 +191,14 @@
                 "known": self.readiness,
             }
         )
+        changes = RunningChanges()
         promotion.bind(
-            {"proposals": state, "databases": upstreams, "platform": promotion_calls}
+            {
+                "proposals": state,
+                "running": FanOut([state, changes]),
+                "databases": upstreams,
+                "platform": promotion_calls,
+            }
         )
         lending.bind({"peers": peers})
         conversations.bind(
@@ -195,8 +221,8 @@
         stages = (state, promotion, lending, conversations, admission, placement)
         for stage in stages:
             stage.bind({"events": edges.events})
-        announce = FanOut([self.readiness, state, conversations])
-        self.stop = GracefulStop(listener, announce, edges.clock, stop_seconds)
+        announce = FanOut([self.readiness, promotion, state, conversations])
+        self.stop = GracefulStop(listener, changes, announce, edges.clock, stop_seconds)
         self.application = Application(
             [
                 self.stop,
