--- a/soak/clients.py
+++ b/soak/clients.py
@@ -130,13 +130,16 @@
                 if not await self._operate(reader, writer, session):
                     self.n_failed += 1
                     return False
-                await asyncio.sleep(self._random.random() * self._plan.pause_seconds)
+                await self._pause()
             return True
         finally:
             writer.close()
             with contextlib.suppress(OSError):
                 await writer.wait_closed()
 
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._random.random() * self._plan.pause_seconds)
+
     async def _operate(
         self,
         reader: asyncio.StreamReader,
@@ -165,8 +168,13 @@
     ) -> bool:
         value = f"{item}.{next(self._numbers)}"
         sent_at = self._clock()
-        answer = await self._ask(reader, writer, f"WRITE {item} {value}")
-        self._note(item, value, session, sent_at, _find_effect(answer))
+        # Stays so when the run ends this client before the answer.
+        effect = Effect.UNKNOWN
+        try:
+            answer = await self._ask(reader, writer, f"WRITE {item} {value}")
+            effect = _find_effect(answer)
+        finally:
+            self._note(item, value, session, sent_at, effect)
         return answer.is_done and answer.is_usable
 
     async def _write_two(
@@ -181,18 +189,21 @@
         sent_at = self._clock()
         # Nothing of a transaction is kept without its commit.
         effect = Effect.NOT_RUN
-        answer = await self._ask(reader, writer, "BEGIN")
-        for item, value in zip(items, values, strict=True):
-            if answer.is_done:
-                answer = await self._ask(reader, writer, f"WRITE {item} {value}")
-                await asyncio.sleep(self._random.random() * self._plan.pause_seconds)
-        if answer.is_done and self._random.random() < 0.2:
-            answer = await self._ask(reader, writer, "ROLLBACK")
-        elif answer.is_done:
-            answer = await self._ask(reader, writer, "COMMIT")
-            effect = _find_effect(answer)
-        for item, value in zip(items, values, strict=True):
-            self._note(item, value, session, sent_at, effect)
+        try:
+            answer = await self._ask(reader, writer, "BEGIN")
+            for item, value in zip(items, values, strict=True):
+                if answer.is_done:
+                    answer = await self._ask(reader, writer, f"WRITE {item} {value}")
+                    await self._pause()
+            if answer.is_done and self._random.random() < 0.2:
+                answer = await self._ask(reader, writer, "ROLLBACK")
+            elif answer.is_done:
+                effect = Effect.UNKNOWN
+                answer = await self._ask(reader, writer, "COMMIT")
+                effect = _find_effect(answer)
+        finally:
+            for item, value in zip(items, values, strict=True):
+                self._note(item, value, session, sent_at, effect)
         return answer.is_done and answer.is_usable
 
     async def _read(
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass
 
 CHUNK_BYTES = 64 * 1024
+# On, with no time to linger: closing sends a reset.
+RESET_LINGER = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,18 +80,18 @@
     def reset(self) -> None:
         """Reset all open connections at both ends."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self._faults.refuses:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             target = await asyncio.open_connection("127.0.0.1", self._target_port)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, target[1]}
         pumps = [
@@ -119,3 +123,11 @@
                     await asyncio.sleep(self._faults.delay_seconds)
                 writer.write(data)
                 await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its other end sees a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    writer.transport.abort()
