Cut-off instances are not ready and close idle sessions

From 33 to 40 s almaty-b is cut off from the other data centres and from the store. Its four instances lose the right to primaries 1.3 s later, refuse 100 to 170 statements a second for 6 s, and keep reporting themselves ready, so the balancer keeps sending them new sessions; clients reach the other data centres all the time.

Change: an instance that has lost the right and does not hear all coordinators reports itself not ready, and closes idle sessions once the balancer has noticed (2.2 s). While all coordinators answer, as in a long outage of the store, nobody else is better off and nothing changes. Two new events.

Ruled out: deciding by the right alone (in a long outage of the store the whole fleet would send its sessions away, to nowhere).

Tests: an instance that is cut off says so until the cut ends; nobody does while the store is away; readiness; idle sessions are closed after 2.2 s of isolation and not after 1 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import shutil
 import sys
 import time
 from pathlib import Path
 
 import defopt
 
+from .regressions import REGRESSIONS
 from .runs import SoakPlan, SoakReport, SoakRun
 
 
@@ -19,6 +21,7 @@
     n_clients: int = 9,
     seconds: float = 30.0,
     directory: Path = Path("soak-logs"),
+    regressions: bool = False,
 ) -> int:
     """Run seeds one after the other and print a line for each.
 
@@ -28,22 +31,33 @@
     :param n_clients: clients of each run.
     :param seconds: time with faults.
     :param directory: receives the logs of each seed that failed.
+    :param regressions: run the seeds that once failed instead, as they were.
     :returns: 1 when a promise was broken.
     """
     first = int(time.time()) if first is None else first
-    has_failed = False
-    for seed in range(first, first + n_seeds):
-        plan = SoakPlan(
+    plans = [
+        SoakPlan(
             seed=seed, n_instances=n_instances, n_clients=n_clients, seconds=seconds
         )
-        report = asyncio.run(SoakRun(plan, directory / str(seed)).run())
-        print(format_report(report), flush=True)
-        has_failed = has_failed or bool(report.violations)
-        if not report.violations:
-            for path in (directory / str(seed)).iterdir():
-                path.unlink()
-            (directory / str(seed)).rmdir()
-    return int(has_failed)
+        for seed in range(first, first + n_seeds)
+    ]
+    if regressions:
+        plans = [item.plan for item in REGRESSIONS]
+    outcomes = [run_plan(plan, directory / str(plan.seed)) for plan in plans]
+    return int(not all(outcomes))
+
+
+def run_plan(plan: SoakPlan, directory: Path) -> bool:
+    """Run one plan and print its report.
+
+    :param directory: receives the logs; removed when no promise was broken.
+    :returns: whether all promises were kept.
+    """
+    report = asyncio.run(SoakRun(plan, directory).run())
+    print(format_report(report), flush=True)
+    if not report.violations:
+        shutil.rmtree(directory)
+    return not report.violations
 
 
 def format_report(report: SoakReport) -> str:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -117,7 +117,7 @@
         try:
             async with asyncio.timeout(OPEN_SECONDS):
                 reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", instance.front_port
+                    instance.host, instance.front_port
                 )
                 writer.write(f"START {self._plan.host} {self._plan.key}\r\n".encode())
                 opening = await self._receive(reader)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
 import aiohttp
@@ -18,38 +19,54 @@
 GRACE_SECONDS = 6.0
 # Start and end of an interpreter beside the others take part of this on a busy machine.
 EXIT_SLACK_SECONDS = 6.0
+# A signal in this time after the start may meet an interpreter that has run nothing of
+# the program yet.
+INTERPRETER_SECONDS = 0.5
 # Memory that the target allows for an instance.
 MEMORY_BYTES = 128 * 1024 * 1024
 
 
-def find_port() -> int:
+def choose_host(number: int) -> str:
+    """Loopback address for one instance of this run.
+
+    Connections start at 127.0.0.1. On an address of its own the ports of an instance
+    that is down stay free.
+    """
+    run = os.getpid()
+    return f"127.{run // 250 % 250 + 1}.{run % 250 + 1}.{number + 1}"
+
+
+def find_port(host: str) -> int:
     """A port that is free now."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return int(probe.getsockname()[1])
 
 
 class InstanceProcess:
     """One instance: its settings file, its process and its links.
 
+    :param number: of the instance in this run.
     :param directory: receives settings, logs and errors.
     """
 
     def __init__(
-        self, name: str, data_centre: str, store: SessionStore, directory: Path
+        self, number: int, data_centre: str, store: SessionStore, directory: Path
     ) -> None:
-        self.name = name
-        self.front_port = find_port()
-        self.ready_port = find_port()
+        self.name = f"i{number}"
+        self.host = choose_host(number)
+        self.front_port = find_port(self.host)
+        self.ready_port = find_port(self.host)
         self.violations: list[Violation] = []
-        self._peer_port = find_port()
-        self._metrics_port = find_port()
+        self._peer_port = find_port(self.host)
+        self._metrics_port = find_port(self.host)
         self._data_centre = data_centre
         self._directory = directory
-        self.peer_link = LinkProxy(self._peer_port)
+        self.peer_link = LinkProxy(self._peer_port, self.host)
         self.store_link = LinkProxy(store.address.port)
         self._process: asyncio.subprocess.Process | None = None
         self._is_ordered = False
+        self._started_at = 0.0
         self.is_paused = False
 
     @property
@@ -65,9 +82,9 @@
         fields = {
             "node": self.name,
             "zone": self._data_centre,
-            "ip": "127.0.0.1",
-            "listen.front": f"127.0.0.1:{self.front_port}",
-            "listen.ready": f"127.0.0.1:{self.ready_port}",
+            "ip": self.host,
+            "listen.front": f"{self.host}:{self.front_port}",
+            "listen.ready": f"{self.host}:{self.ready_port}",
             "internal_ports": f"{self._peer_port},{self._metrics_port}",
             "platform.address": store,
             "cloud.address": store,
@@ -91,6 +108,7 @@
         }
         self._is_ordered = False
         self.is_paused = False
+        self._started_at = time.monotonic()
         log = (self._directory / f"{self.name}.jsonl").open("ab")
         errors = (self._directory / f"{self.name}.err").open("ab")
         with log, errors:
@@ -100,7 +118,9 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
-        if not self.is_running:
+        age = time.monotonic() - self._started_at
+        is_early = number is signal.SIGHUP and age < INTERPRETER_SECONDS
+        if not self.is_running or is_early:
             return
         assert self._process is not None
         self.is_paused = number is signal.SIGSTOP or (
@@ -131,7 +151,10 @@
                 self.violations.append(Violation("STOP", f"{self.name} did not exit"))
             await self.kill()
             return
-        if code not in (0, -signal.SIGKILL):
+        allowed = {0, -signal.SIGKILL}
+        if time.monotonic() - self._started_at < INTERPRETER_SECONDS:
+            allowed.add(-signal.SIGTERM)
+        if code not in allowed:
             self.violations.append(Violation("STOP", f"{self.name} exits with {code}"))
 
     def check(self) -> None:
@@ -158,7 +181,7 @@
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Ask the readiness address, as the balancer does."""
-        url = f"http://127.0.0.1:{self.ready_port}/sardinemill/readiness"
+        url = f"http://{self.host}:{self.ready_port}/sardinemill/readiness"
         try:
             async with session.get(url, timeout=aiohttp.ClientTimeout(1.0)) as answer:
                 return answer.status == 200
--- a/soak/links.py
+++ b/soak/links.py
@@ -36,14 +36,15 @@
     """Listens on a port of its own and connects to the target for each connection.
 
     :param port: of the target.
+    :param host: of the target.
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, host: str = "127.0.0.1") -> None:
         self._faults = HEALTHY
         # Set while bytes of the direction pass; True for requests.
         self._passes = {True: asyncio.Event(), False: asyncio.Event()}
         self.set_faults(HEALTHY)
-        self._target_port = port
+        self._target = (host, port)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -89,7 +90,7 @@
             _reset(writer)
             return
         try:
-            target = await asyncio.open_connection("127.0.0.1", self._target_port)
+            target = await asyncio.open_connection(*self._target)
         except OSError:
             _reset(writer)
             return
--- /dev/null
+++ b/soak/regressions.py
@@ -0,0 +1,36 @@
+"""Seeds that once failed, with the cause; run them with ``--regressions``."""
+
+from dataclasses import dataclass
+
+from .runs import SoakPlan
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Regression:
+    """A run that broke a promise.
+
+    :param cause: what was wrong, in the product or in the soak.
+    """
+
+    plan: SoakPlan
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(
+        plan=SoakPlan(seed=1, seconds=15.0),
+        cause="soak: an instance that was stopping at the end was not started again",
+    ),
+    Regression(
+        plan=SoakPlan(seed=1, n_instances=3, n_clients=6, seconds=6.0),
+        cause="soak: a client cancelled in the middle of a write did not note it",
+    ),
+    Regression(
+        plan=SoakPlan(seed=104, seconds=25.0),
+        cause="SIGTERM or SIGHUP during the imports ended an instance with the signal",
+    ),
+    Regression(
+        plan=SoakPlan(seed=107, seconds=25.0),
+        cause="soak: a connection took a port of an instance that was down",
+    ),
+)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -151,7 +151,7 @@
         self._store.put("config", "main", make_document())
         for number in range(self._plan.n_instances):
             instance = InstanceProcess(
-                f"i{number}", "xyz"[number % 3], self._store, self._directory
+                number, "xyz"[number % 3], self._store, self._directory
             )
             await instance.prepare()
             await instance.start()
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -96,6 +96,10 @@
         316, "warning", "Primaries are not used: no evidence that they still are."
     )
     RIGHT_REGAINED = EventKind(317, "info", "Primaries are used again.")
+    ISOLATED = EventKind(
+        318, "warning", "The instance is cut off; new sessions should go elsewhere."
+    )
+    ISOLATION_ENDED = EventKind(319, "info", "The instance takes new sessions again.")
 
     # 4xx rate limits
     SHARD_TAKEN = EventKind(401, "info", "The instance lends tokens of a shard.")
--- /dev/null
+++ b/src/sardinemill/fleet/lists.py
@@ -0,0 +1,67 @@
+"""The operators' lists and the list of databases, as an instance knows them."""
+
+import msgspec
+import xxhash
+
+from ..events import Event, EventName
+from ..interfaces import Emission
+from ..sessions.routes import Configuration, RoutesChanged, make_route_table
+from .records import Directory
+from .views import DirectoryChanged
+
+NEVER = float("-inf")
+
+
+class KnownLists:
+    """Newest configuration and directory; neither is replaced by an older one.
+
+    :ivar digest: of the directory.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+        self.directory = Directory()
+        self.digest = ""
+        self._directory_read_at = NEVER
+
+    @property
+    def is_complete(self) -> bool:
+        """Both lists are known."""
+        return self.configuration.version > 0 and bool(self.directory.databases)
+
+    def adopt_configuration(self, configuration: Configuration) -> list[Emission]:
+        """Take a configuration of a higher version.
+
+        :returns: messages for ``routes`` and ``events``.
+        """
+        if configuration.version <= self.configuration.version:
+            return []
+        self.configuration = configuration
+        fields = {"version": configuration.version}
+        return [
+            Emission("routes", RoutesChanged(make_route_table(configuration))),
+            Emission("events", Event(EventName.CONFIGURATION_ADOPTED, fields)),
+        ]
+
+    def adopt_directory(self, directory: Directory, read_at: float) -> list[Emission]:
+        """Take a directory that was read later than the known one.
+
+        :returns: messages for ``directory`` and ``events``.
+        """
+        if read_at <= self._directory_read_at:
+            return []
+        self._directory_read_at = read_at
+        if directory == self.directory:
+            return []
+        self.directory = directory
+        self.digest = make_digest(directory)
+        fields = {"n_databases": len(directory.databases), "digest": self.digest}
+        return [
+            Emission("directory", DirectoryChanged(directory)),
+            Emission("events", Event(EventName.DATABASES_CHANGED, fields)),
+        ]
+
+
+def make_digest(directory: Directory) -> str:
+    """Short text that differs between different directories."""
+    return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(directory))
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -6,10 +6,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import replace
-
-import msgspec
-import xxhash
 
 from ..control import PeerEnvelope
 from ..events import Event, EventName
@@ -17,15 +13,11 @@
 from ..interfaces import Emission, RandomSource
 from ..members import InstanceInfo, MembershipChanged
 from ..sessions.messages import DrainStarted
-from ..sessions.routes import (
-    Configuration,
-    RoutesChanged,
-    make_route_table,
-)
 from .checks import StoreChecks, round_age
-from .evidence import CoordinatorWord, find_unanimous_time
+from .evidence import RIGHT_SECONDS, CoordinatorWord, find_unanimous_time
 from .joining import Joining
 from .known_positions import KnownPositions
+from .lists import KnownLists
 from .messages import (
     ContactReport,
     FleetAnswer,
@@ -34,7 +26,8 @@
     PositionReport,
 )
 from .questions import Askers, Asking, make_instance_info
-from .records import Directory, FleetRecord
+from .record_writing import RecordWriting
+from .records import FleetRecord
 from .store_messages import (
     ConfigurationRead,
     DirectoryRead,
@@ -49,10 +42,10 @@
     CoordinationChanged,
     CoordinatorsHeard,
     DatabaseContact,
-    DirectoryChanged,
     FleetKnown,
     GroupProposed,
     Identity,
+    IsolationChanged,
     PositionSeen,
     RecordConfirmed,
 )
@@ -62,8 +55,6 @@
 ASK_SECONDS = 0.4
 # An instance that knows everything but no coordinator becomes ready after this time.
 ALONE_SECONDS = 2.0
-# A write of the record without an answer is made again after this time.
-WRITE_RETRY_SECONDS = 2.0
 # A coordinator that is told to stop ends its changes first, for at most this time. It
 # leaves time to change the list before the process is killed, 6 s after the order.
 LEAVE_SECONDS = 4.0
@@ -77,12 +68,13 @@
 
     Outlets: ``store``, ``peers``, ``links``, ``routes``, ``directory``, ``record``,
     ``positions``, ``contacts``, ``coordination``, ``coordinators``, ``known``,
-    ``events``.
+    ``isolation``, ``events``.
     """
 
     def __init__(self, identity: Identity, random: RandomSource) -> None:
         self._identity = identity
         self._joining = Joining(identity, random)
+        self._writing = RecordWriting(identity, self._joining)
         self._checks = StoreChecks(random)
         self._positions = KnownPositions()
         self._next_tick = 0.0
@@ -91,12 +83,7 @@
         self._has_record = False
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
-        self._configuration = Configuration()
-        self._directory = Directory()
-        self._digest = ""
-        self._directory_read_at = NEVER
-        self._write: WriteRecord | None = None
-        self._write_retry_at = NEVER
+        self._lists = KnownLists()
         self._words: dict[str, CoordinatorWord] = {}
         self._asking = Asking()
         self._askers = Askers()
@@ -105,7 +92,6 @@
         self._n_changes = 0
         self._known_peers: tuple[InstanceInfo, ...] = ()
         self._contacts: dict[str, DatabaseContact] = {}
-        self._proposals: dict[str, GroupProposed] = {}
         self._is_known = False
         self._complete_at: float | None = None
         self._is_store_lost = False
@@ -113,6 +99,7 @@
         self._n_members = 1
         self._told_coordination: CoordinationChanged | None = None
         self._told_heard: CoordinatorsHeard | None = None
+        self._told_isolation = IsolationChanged(False)
 
     @property
     def next_tick(self) -> float | None:
@@ -127,7 +114,7 @@
         if isinstance(message, DatabaseContact):
             return self._take_contact(message)
         if isinstance(message, GroupProposed):
-            self._proposals[message.group.group] = message
+            self._writing.propose(message)
             return self._start_write(now)
         if isinstance(message, ChangesRunning):
             self._n_changes = message.n_changes
@@ -146,22 +133,24 @@
             emissions += self._adopt_record(message.record, message.revision, now)
             if message.revision == self._revision:
                 emissions += self._confirm_by_store(message.asked_at)
-            self._resolve_write()
+            self._writing.resolve(self._revision)
             emissions += self._start_write(now)
         elif isinstance(message, RecordWritten):
-            self._write = None
+            self._writing.end()
             emissions += self._adopt_record(message.record, message.revision, now)
             if message.revision == self._revision:
                 emissions += self._confirm_by_store(message.asked_at)
             emissions += self._start_write(now)
         elif isinstance(message, DirectoryRead):
             self._checks.end("directory")
-            emissions += self._adopt_directory(message.directory, message.asked_at)
+            emissions += self._lists.adopt_directory(
+                message.directory, message.asked_at
+            )
             self._checks.note("directory", message.asked_at)
         elif isinstance(message, ConfigurationRead):
             self._checks.end("configuration")
             if message.configuration is not None:
-                emissions += self._adopt_configuration(message.configuration)
+                emissions += self._lists.adopt_configuration(message.configuration)
                 self._checks.note("configuration", message.asked_at)
         return emissions
 
@@ -182,6 +171,7 @@
             self._joining.consider(self._record, now)
         emissions += self._start_write(now)
         emissions += self._tell_coordination(now)
+        emissions += self._tell_isolation(now)
         emissions += self._learn_known(now)
         return emissions
 
@@ -212,7 +202,10 @@
                 Emission("events", Event(EventName.STORE_CALLS_FAILED, fields))
             )
         if isinstance(message.request, WriteRecord):
-            return emissions + self._take_write_failure(message, now)
+            if self._writing.fail(message, now):
+                self._checks.hurry("record")
+                emissions += self._read_store(now)
+            return emissions
         self._checks.fail(message.request, now)
         return emissions
 
@@ -255,9 +248,7 @@
 
     def _learn_known(self, now: float) -> list[Emission]:
         if self._is_known or not (
-            self._configuration.version
-            and self._directory.databases
-            and self._record.coordinators
+            self._lists.is_complete and self._record.coordinators
         ):
             return []
         if self._complete_at is None:
@@ -275,21 +266,10 @@
     # Writes of the record
 
     def _start_write(self, now: float) -> list[Emission]:
-        """Write the next change, one at a time."""
-        if self._write is not None:
-            if now >= self._write_retry_at:
-                # The same write again: at most one of them can take effect.
-                self._write_retry_at = now + WRITE_RETRY_SECONDS
-                return [Emission("store", self._write)]
-            return []
         if not self._has_record:
             return []
-        record = self._apply_changes(now)
-        if record == self._record:
-            return []
-        self._write = WriteRecord(record, self._revision)
-        self._write_retry_at = now + WRITE_RETRY_SECONDS
-        return [Emission("store", self._write)]
+        write = self._writing.start(self._record, self._revision, now)
+        return [] if write is None else [Emission("store", write)]
 
     def _leave_list(self, now: float) -> list[Emission]:
         """Leave the list of coordinators once told to stop and no change runs."""
@@ -300,80 +280,6 @@
         self._joining.is_leaving = True
         return [*self._start_write(now), *self._tell_coordination(now)]
 
-    def _apply_changes(self, now: float) -> FleetRecord:
-        record = self._joining.apply(self._record, now)
-        for name, proposal in list(self._proposals.items()):
-            del self._proposals[name]
-            if not self._joining.is_coordinator(self._record):
-                continue
-            if self._record.find_group(name) != proposal.expected:
-                continue
-            others = tuple(item for item in record.groups if item.group != name)
-            groups = (*others, proposal.group)
-            record = replace(
-                record, groups=tuple(sorted(groups, key=lambda item: item.group))
-            )
-            is_holder = (record.holder, record.holder_incarnation) == (
-                self._identity.name,
-                self._identity.incarnation,
-            )
-            if proposal.takes_fence and not is_holder:
-                record = replace(
-                    record,
-                    holder=self._identity.name,
-                    holder_incarnation=self._identity.incarnation,
-                    fence=record.fence + 1,
-                )
-        return record
-
-    def _take_write_failure(self, message: StoreFailed, now: float) -> list[Emission]:
-        if message.request != self._write:
-            return []
-        if message.fault is StoreFault.NO_ANSWER:
-            # It may still take effect. The record tells.
-            self._write_retry_at = now + WRITE_RETRY_SECONDS
-        else:
-            self._write = None
-            self._joining.note_rejection()
-        self._checks.hurry("record")
-        return self._read_store(now)
-
-    def _resolve_write(self) -> None:
-        """Forget a write that can no longer take effect."""
-        if self._write is not None and self._revision > self._write.revision:
-            self._write = None
-
-    # Configuration and databases
-
-    def _adopt_configuration(self, configuration: Configuration) -> list[Emission]:
-        if configuration.version <= self._configuration.version:
-            return []
-        self._configuration = configuration
-        fields = {"version": configuration.version}
-        return [
-            Emission("routes", RoutesChanged(make_route_table(configuration))),
-            Emission("events", Event(EventName.CONFIGURATION_ADOPTED, fields)),
-        ]
-
-    def _adopt_directory(self, directory: Directory, read_at: float) -> list[Emission]:
-        if read_at <= self._directory_read_at:
-            return []
-        self._directory_read_at = read_at
-        if directory == self._directory:
-            return []
-        self._directory = directory
-        self._digest = make_digest(directory)
-        return [
-            Emission("directory", DirectoryChanged(directory)),
-            Emission(
-                "events",
-                Event(
-                    EventName.DATABASES_CHANGED,
-                    {"n_databases": len(directory.databases), "digest": self._digest},
-                ),
-            ),
-        ]
-
     # Positions and contacts
 
     def _take_contact(self, contact: DatabaseContact) -> list[Emission]:
@@ -451,8 +357,8 @@
         question = FleetQuestion(
             number=self._asking.begin(peer, now),
             record_revision=self._revision,
-            configuration_version=self._configuration.version,
-            directory_digest=self._digest,
+            configuration_version=self._lists.configuration.version,
+            directory_digest=self._lists.digest,
             echo_number=echo.number,
             echo_seconds=echo.find_age(now),
             introduction=None if is_known else self._introduce(),
@@ -497,13 +403,13 @@
             record_revision=self._revision,
             record_age_seconds=round_age(self._confirmed_by_store_at, now),
             record=self._record if question.record_revision < self._revision else None,
-            configuration=self._configuration
-            if question.configuration_version < self._configuration.version
+            configuration=self._lists.configuration
+            if question.configuration_version < self._lists.configuration.version
             else None,
-            configuration_version=self._configuration.version,
+            configuration_version=self._lists.configuration.version,
             configuration_age_seconds=self._checks.find_age("configuration", now),
-            directory=self._directory
-            if question.directory_digest != self._digest
+            directory=self._lists.directory
+            if question.directory_digest != self._lists.digest
             else None,
             directory_age_seconds=self._checks.find_age("directory", now),
             positions=self._positions.make_reports(now)
@@ -512,7 +418,7 @@
             n_instances=self._n_members,
         )
         emissions.append(Emission("peers", PeerEnvelope(peer=peer, message=answer)))
-        if question.configuration_version > self._configuration.version or (
+        if question.configuration_version > self._lists.configuration.version or (
             question.record_revision > self._revision
         ):
             emissions.append(self._make_question(peer, now))
@@ -542,17 +448,17 @@
             emissions += self._confirm_by_store(read_at)
             emissions += self._confirm_by_words(now)
         if answer.configuration is not None:
-            emissions += self._adopt_configuration(answer.configuration)
-        if answer.configuration_version == self._configuration.version:
+            emissions += self._lists.adopt_configuration(answer.configuration)
+        if answer.configuration_version == self._lists.configuration.version:
             checked_at = asked_at - answer.configuration_age_seconds
             self._checks.note("configuration", checked_at)
         read_at = asked_at - answer.directory_age_seconds
         if answer.directory is not None:
-            emissions += self._adopt_directory(answer.directory, read_at)
-        if answer.directory is None or answer.directory == self._directory:
+            emissions += self._lists.adopt_directory(answer.directory, read_at)
+        if answer.directory is None or answer.directory == self._lists.directory:
             self._checks.note("directory", read_at)
         emissions += self._tell_positions(answer.positions, asked_at)
-        self._resolve_write()
+        self._writing.resolve(self._revision)
         return emissions
 
     def _confirm_by_words(self, now: float) -> list[Emission]:
@@ -607,7 +513,19 @@
             emissions.append(Emission("coordinators", heard))
         return emissions
 
+    def _tell_isolation(self, now: float) -> list[Emission]:
+        """Tell when this instance alone may have lost its right to primaries.
 
-def make_digest(directory: Directory) -> str:
-    """Short text that differs between different directories."""
-    return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(directory))
+        While all coordinators answer, nobody else has the right either, and sessions
+        are as well off here.
+        """
+        heard = self._joining.list_heard(self._record, now)
+        has_right = now - self._confirmed_at <= RIGHT_SECONDS
+        is_cut_off = len(heard) < len(self._record.coordinators)
+        changed = IsolationChanged(not has_right and is_cut_off)
+        if changed == self._told_isolation:
+            return []
+        self._told_isolation = changed
+        fields = {"n_heard": len(heard), "n_instances": self._n_instances}
+        name = EventName.ISOLATED if changed.is_isolated else EventName.ISOLATION_ENDED
+        return [Emission("isolation", changed), Emission("events", Event(name, fields))]
--- a/src/sardinemill/fleet/views.py
+++ b/src/sardinemill/fleet/views.py
@@ -100,6 +100,16 @@
     n_instances: int
 
 
+@dataclass(frozen=True, slots=True)
+class IsolationChanged:
+    """Whether this instance has lost its right to primaries because it is cut off.
+
+    Other instances may be better off, so new sessions should go to them.
+    """
+
+    is_isolated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class FleetKnown:
     """The instance knows all that it needs to serve."""
--- a/src/sardinemill/serving.py
+++ b/src/sardinemill/serving.py
@@ -1,5 +1,6 @@
 """Composition root of an instance that serves sessions with the fleet's filters."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -11,7 +12,7 @@
 from .fleet.promotion import Promotion
 from .fleet.state import FleetState
 from .fleet.tokens import TokenLending
-from .fleet.views import ChangesRunning, FleetKnown, Identity
+from .fleet.views import ChangesRunning, FleetKnown, Identity, IsolationChanged
 from .interfaces import Clock, Emission, Filter, Outlet, RandomSource
 from .outlets import EnvelopeRouter, FanOut
 from .pipeline import Stage
@@ -72,19 +73,22 @@
     def __init__(self) -> None:
         self._is_known = False
         self._is_leaving = False
+        self._is_isolated = False
 
     def offer(self, message: object) -> bool:
-        """Take :class:`FleetKnown` and :class:`DrainStarted`."""
+        """Take what decides about readiness; other messages change nothing."""
         if isinstance(message, FleetKnown):
             self._is_known = True
+        elif isinstance(message, IsolationChanged):
+            self._is_isolated = message.is_isolated
         elif isinstance(message, DrainStarted):
             self._is_leaving = True
         return True
 
     @property
     def is_ready(self) -> bool:
-        """The instance knows what it needs and is not leaving."""
-        return self._is_known and not self._is_leaving
+        """The instance knows what it needs, is not cut off and not leaving."""
+        return self._is_known and not self._is_isolated and not self._is_leaving
 
 
 class RunningChanges:
@@ -141,6 +145,48 @@
         """Nothing to release."""
 
 
+class IsolationRelief:
+    """Part that closes idle sessions while the instance is cut off from the others.
+
+    They open again where the balancer sends them, which is elsewhere by then.
+    """
+
+    def __init__(self, listener: ListenerPart, clock: Clock) -> None:
+        self._listener = listener
+        self._clock = clock
+        self._isolated = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def offer(self, message: object) -> bool:
+        """Take :class:`IsolationChanged`."""
+        if isinstance(message, IsolationChanged):
+            if message.is_isolated:
+                self._isolated.set()
+            else:
+                self._isolated.clear()
+        return True
+
+    async def start(self) -> None:
+        """Start to watch."""
+        self._task = asyncio.create_task(self._run(), name="isolation relief")
+
+    async def drain(self) -> None:
+        """Nothing to do: the stop closes idle sessions too."""
+
+    async def stop(self) -> None:
+        """Stop to watch."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            await self._isolated.wait()
+            await self._clock.sleep(BALANCER_SECONDS)
+            if self._isolated.is_set():
+                await self._listener.close_idle()
+
+
 class ServingInstance:
     """All filters and adapters of one instance.
 
@@ -172,6 +218,7 @@
             )
         )
         listener = edges.make_listener(conversations)
+        relief = IsolationRelief(listener, edges.clock)
         upstreams = edges.make_upstreams(placement, promotion)
         promotion_calls = edges.make_promotion_calls(promotion)
         state.bind(
@@ -189,6 +236,7 @@
                 "coordination": promotion,
                 "coordinators": FanOut([admission, placement]),
                 "known": self.readiness,
+                "isolation": FanOut([self.readiness, relief]),
             }
         )
         changes = RunningChanges()
@@ -233,6 +281,7 @@
                 promotion_calls,
                 *(TaskPart(stage.name, stage) for stage in stages),
                 listener,
+                relief,
             ]
         )
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -33,6 +33,7 @@
     FleetKnown,
     GroupProposed,
     Identity,
+    IsolationChanged,
     PositionSeen,
     RecordConfirmed,
 )
@@ -64,6 +65,7 @@
         self.known_at = {}
         self.sent = []
         self.joined_at = {}
+        self.isolated = {}
         for number, name in enumerate(names):
             self.start(name, number)
 
@@ -119,6 +121,8 @@
                 heard = self.states[name]._joining._heard
                 assert heard or name in self.coordinators or name in self.peer_cut
                 self.known_at[name] = self.now
+            elif isinstance(message, IsolationChanged):
+                self.isolated[name] = message.is_isolated
             elif isinstance(message, PositionSeen):
                 self.positions[name] = message
 
@@ -575,3 +579,22 @@
         item.database for _, question in questions for item in question.contacts
     ]
     assert set(contacts) == {"p"}
+
+
+def test_instance_that_is_cut_off_says_so_until_the_cut_ends(network):
+    """Guards against sessions that stay where no primary can be used."""
+    network.peer_cut.add("f")
+    network.store_cut.add("f")
+    network.run(RIGHT_SECONDS + 0.5)
+    assert network.isolated == {"f": True}
+    network.peer_cut.clear()
+    network.store_cut.clear()
+    network.run(1.5)
+    assert network.isolated == {"f": False}
+
+
+def test_nobody_is_isolated_while_the_store_is_away_for_long(network):
+    """Guards against a fleet that sends all sessions away, to nowhere."""
+    network.store_cut |= set("abcdef")
+    network.run(WORD_SECONDS + 5)
+    assert network.isolated == {}
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from sardinemill.fleet.views import FleetKnown, IsolationChanged
+from sardinemill.serving import IsolationRelief, Readiness
 from session_world import make_document, run_world
 
 
@@ -208,3 +210,65 @@
         assert "key-of-hives" not in text
 
     run_world(scenario, n_instances=1)
+
+
+def test_isolated_instance_is_not_ready():
+    """Guards against new sessions on the wrong side of a cut."""
+    readiness = Readiness()
+    readiness.offer(FleetKnown())
+    assert readiness.is_ready
+    readiness.offer(IsolationChanged(True))
+    assert not readiness.is_ready
+    readiness.offer(IsolationChanged(False))
+    assert readiness.is_ready
+
+
+class Listener:
+    """Counts calls."""
+
+    def __init__(self):
+        self.n_closes = 0
+
+    async def close_idle(self):
+        self.n_closes += 1
+
+
+class ManualClock:
+    """Sleeps until the test has advanced it."""
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    async def sleep(self, seconds):
+        end = self.seconds + seconds
+        while self.seconds < end:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+    async def advance(self, seconds):
+        """Let time pass in small steps."""
+        for _ in range(round(seconds * 10)):
+            self.seconds += 0.1
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+
+def test_idle_sessions_leave_a_lasting_isolation_only():
+    """Guards against idle sessions that stay with an instance which cannot serve them,
+    and against sessions that are closed for a short disturbance.
+    """
+
+    async def scenario():
+        listener, clock = Listener(), ManualClock()
+        relief = IsolationRelief(listener, clock)
+        await relief.start()
+        relief.offer(IsolationChanged(True))
+        await clock.advance(1.0)
+        relief.offer(IsolationChanged(False))
+        await clock.advance(5.0)
+        assert listener.n_closes == 0
+        relief.offer(IsolationChanged(True))
+        await clock.advance(3.0)
+        assert listener.n_closes == 1
+        await relief.stop()
+
+    asyncio.run(scenario())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import signal
 from random import Random
 
 import pytest
@@ -11,6 +12,7 @@
 from soak.databases import GROUP, DatabaseGroup
 from soak.faults import make_schedule
 from soak.history import Effect, Freshness, History, Read, Write, check_rate
+from soak.instances import INTERPRETER_SECONDS, InstanceProcess
 from soak.links import HEALTHY, LinkFaults, LinkProxy
 from soak.runs import SoakPlan, SoakRun
 
@@ -196,6 +198,29 @@
     assert len({type(item.fault) for item in first}) > 4
 
 
+@pytest.mark.parametrize(
+    ("number", "is_running"), [(signal.SIGTERM, False), (signal.SIGHUP, True)]
+)
+def test_signals_during_the_start_do_not_fail_the_instance(
+    tmp_path, number, is_running
+):
+    """Guards against an instance that ends with the signal while it imports modules."""
+
+    async def scenario():
+        instance = InstanceProcess(0, "x", SessionStore(lambda *_: True), tmp_path)
+        await instance.prepare()
+        await instance.start()
+        await asyncio.sleep(INTERPRETER_SECONDS)
+        instance.send_signal(number)
+        await asyncio.sleep(INTERPRETER_SECONDS)
+        assert instance.is_running is is_running
+        instance.check()
+        assert instance.violations == []
+        await instance.stop()
+
+    asyncio.run(scenario())
+
+
 def test_short_run_breaks_no_promise(tmp_path):
     """Guards against a fault of the real processes, and against a soak that rots."""
     plan = SoakPlan(seed=1, n_instances=3, n_clients=6, seconds=6.0)
