Show a fleet on the platform: sardinemill overview

JSON on request, exit status 3 when the store is away, all wrong addresses at once with exit status 2. Keys are counted, not shown.

--- a/src/sardinemill/cli.py
+++ b/src/sardinemill/cli.py
@@ -20,12 +20,17 @@
 from .errors import SardinemillError, StoreError
 from .interfaces import Clock, Store
 from .operations import OperationContext
+from .overview import FleetReader, read_overview
+from .platform.overview import MetricsReader, PlatformReader
+from .platform.settings import parse_address
+from .presentation import format_overview
 from .session import (
     Command,
     EditCommand,
     ExitStatus,
     KeyCommand,
     LocalCommand,
+    OverviewCommand,
     Report,
     Session,
     report_result,
@@ -55,6 +60,10 @@
     async def stop(self) -> None: ...
 
 
+class FleetClient(FleetReader, Client, Protocol):
+    """Reader of a fleet's state with life-cycle hooks."""
+
+
 class StoreClient(Store, Client, Protocol):
     """Store with life-cycle hooks."""
 
@@ -69,13 +78,15 @@
     environment: Mapping[str, str],
     *,
     store: StoreClient | None = None,
+    reader: FleetClient | None = None,
     clock: Clock | None = None,
     output: TextIO | None = None,
     questions: TextIO | None = None,
 ) -> int:
     """Run one command.
 
-    :param store: replaces the HTTP client, for tests; ``clock`` the system's clock.
+    :param store: replaces the HTTP client, for tests; ``reader`` the one of the
+        platform, ``clock`` the system's clock.
     :param questions: where answers to questions are read from.
     :returns: exit status.
     """
@@ -98,6 +109,10 @@
             report = command.run()
             _print_report(report, options.json, output)
             return int(report.status)
+        if isinstance(command, OverviewCommand):
+            report = asyncio.run(_show_overview(command, options.store, reader))
+            _print_report(report, options.json, output)
+            return int(report.status)
         client = store or _open_store(options.store)
         source = HttpStatusSource()
         session = Session(
@@ -167,6 +182,38 @@
             await client.stop()
 
 
+async def _show_overview(
+    command: OverviewCommand, url: str, reader: FleetClient | None
+) -> Report:
+    """Read a fleet on the platform.
+
+    :raises ValueError: with all wrong addresses at once.
+    """
+    faults = [
+        f"--metrics {item}: not an IP address and port"
+        for item in command.metrics
+        if parse_address(item) is None
+    ]
+    if reader is None:
+        address = parse_address(url.removeprefix("http://").rstrip("/"))
+        if address is None:
+            text = f"--store {url or '(none)'}: not http://, an IP address and a port"
+            faults.insert(0, text)
+        else:
+            reader = PlatformReader(address)
+    if reader is None or faults:
+        raise ValueError("\n".join(faults))
+    await reader.start()
+    try:
+        found = await read_overview(reader, MetricsReader(), command.metrics)
+    except StoreError as error:
+        text = f"platform unavailable: {error.message}\n"
+        return Report(status=ExitStatus.UNAVAILABLE, text=text)
+    finally:
+        await reader.stop()
+    return Report(text=format_overview(found), data=found)
+
+
 def _ask(text: str, questions: TextIO | None) -> bool:
     source = questions or sys.stdin
     if questions is None and not source.isatty():
--- a/src/sardinemill/commands.py
+++ b/src/sardinemill/commands.py
@@ -36,6 +36,7 @@
     Command,
     ExitStatus,
     LocalCommand,
+    OverviewCommand,
     Report,
     Session,
     wait_for_version,
@@ -126,6 +127,21 @@
     return run
 
 
+def overview(*, metrics: list[str] | None = None) -> OverviewCommand:
+    """Show what is in force in a fleet on the platform.
+
+    Lists the coordinators, the primary and term of each database group, the rate limits
+    and, for the instances named, their configuration and refusals by reason. The option
+    ``--store`` holds the platform's URL.
+
+    Example: ``sardinemill --store http://10.200.1.7:8466 overview --metrics
+    10.1.0.26:7575 10.1.0.27:7575``
+
+    :param metrics: metrics addresses of the instances to ask
+    """
+    return OverviewCommand(tuple(metrics or ()))
+
+
 def wait(*, version: int | None = None, seconds: float = 30.0) -> Command:
     """Wait until a version is in force at every live instance.
 
@@ -237,6 +253,7 @@
     "history": history,
     "undo": undo,
     "status": status,
+    "overview": overview,
     "wait": wait,
     "drain": drain,
     "promote": promote,
--- a/src/sardinemill/platform/store.py
+++ b/src/sardinemill/platform/store.py
@@ -220,7 +220,7 @@
         asked_at = self._clock.now()
         if isinstance(request, ReadRecord):
             found = await self._store.get(RECORD_KIND, RECORD_NAME)
-            return RecordRead(_decode_record(found), found.revision, asked_at)
+            return RecordRead(decode_record(found), found.revision, asked_at)
         if isinstance(request, ReadDirectory):
             objects = await self._store.list(DATABASE_KIND)
             pairs = [(item.name, item.content) for item in objects]
@@ -245,7 +245,11 @@
             return None
 
 
-def _decode_record(found: PlatformObject) -> FleetRecord:
+def decode_record(found: PlatformObject) -> FleetRecord:
+    """Decode the fleet record; an empty one when there is none.
+
+    :raises StoreError: when the object holds something else.
+    """
     if not found.revision:
         return FleetRecord()
     try:
--- a/src/sardinemill/presentation.py
+++ b/src/sardinemill/presentation.py
@@ -8,6 +8,7 @@
 from .documents import EditRecord
 from .edits import Conflict
 from .fleet_operations import FleetStatus
+from .overview import FleetOverview, GroupOverview
 from .validation import Fault
 
 
@@ -125,6 +126,61 @@
     return format_table(header, rows)
 
 
+def format_overview(found: FleetOverview) -> str:
+    """Show a fleet: groups, coordinators, limits and what instances count."""
+    coordinators = [
+        (item.name, item.data_centre, "yes" if item.is_established else "not yet")
+        for item in found.coordinators
+    ]
+    groups = [
+        (
+            item.group,
+            item.primary or "-",
+            item.term,
+            _name_phase(item),
+            item.n_databases,
+            " ".join(item.leaving) or "-",
+        )
+        for item in found.groups
+    ]
+    workspaces = [
+        (item.name, f"{item.operations_per_second:g}", f"{item.burst:g}", item.n_keys)
+        for item in found.workspaces
+    ]
+    instances = [
+        (
+            item.address,
+            item.configuration_version if item.is_answering else "silent",
+            " ".join(f"{code}={count}" for code, count in item.statements) or "-",
+        )
+        for item in found.instances
+    ]
+    parts = [
+        f"configuration {found.configuration_version}, fleet record revision "
+        f"{found.record_revision}, last change of primary by {found.holder or '-'} "
+        f"with fence {found.fence}\n",
+        format_table(
+            ("coordinator", "data centre", "may change primaries"), coordinators
+        ),
+        format_table(
+            ("group", "primary", "term", "phase", "databases", "leaving"), groups
+        ),
+        format_table(("workspace", "per second", "burst", "keys"), workspaces),
+    ]
+    if instances:
+        header = ("instance", "configuration", "statements by outcome")
+        parts.append(format_table(header, instances))
+    return "\n".join(parts)
+
+
+def _name_phase(group: GroupOverview) -> str:
+    if group.is_changing:
+        return "changing"
+    if not group.primary:
+        return "no primary"
+    return "steady" if group.is_primary_present else "primary not listed"
+
+
 def _format_age(seconds: float | None) -> str:
     return "never" if seconds is None else f"{seconds:.1f}s"
 
--- a/src/sardinemill/session.py
+++ b/src/sardinemill/session.py
@@ -103,6 +103,16 @@
     run: Callable[[], Report]
 
 
+@dataclass(frozen=True, slots=True)
+class OverviewCommand:
+    """Command that shows a fleet on the platform.
+
+    :param metrics: metrics addresses of the instances to ask.
+    """
+
+    metrics: tuple[str, ...]
+
+
 async def run_command(
     command: Command | EditCommand | KeyCommand, session: Session
 ) -> Report:
--- a/src/sardinemill/session_measurements.py
+++ b/src/sardinemill/session_measurements.py
@@ -1,5 +1,7 @@
 """Counts the results of statements and the state of the fleet's view."""
 
+import math
+
 from .fleet.store_messages import StoreFailed
 from .fleet.views import RecordConfirmed
 from .interfaces import Clock
@@ -27,7 +29,9 @@
             self._record(Metric.CONFIGURATION_VERSION, version)
         elif isinstance(message, RecordConfirmed):
             age = self._clock.now() - message.confirmed_at
-            self._record(Metric.CONFIRMED_AGE_SECONDS, age)
+            # A record that another instance passed on may not be confirmed yet.
+            if math.isfinite(age):
+                self._record(Metric.CONFIRMED_AGE_SECONDS, age)
         elif isinstance(message, StoreFailed):
             labels = {"call": type(message.request).__name__}
             labels["fault"] = message.fault.value
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,12 +10,32 @@
 from sardinemill.configuration import hash_key
 from sardinemill.documents import HEAD_NAME
 from sardinemill.errors import StoreUnavailable
+from sardinemill.fleet.records import Directory, FleetRecord
 
 PLANS = [{"name": "small", "rate_per_second": 5, "burst": 10}]
 WORKSPACES = [{"name": "loans", "plan": "small", "group": "books"}]
 GROUPS = [{"name": "books", "n_slots": 3, "databases": []}]
 
 
+class EmptyFleet:
+    """Platform's store of a fleet that has not started."""
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        pass
+
+    async def read_record(self):
+        return FleetRecord(), 0
+
+    async def read_directory(self):
+        return Directory()
+
+    async def read_configuration(self):
+        return None
+
+
 class OperatorDesk:
     """Runs commands and keeps their output."""
 
@@ -30,6 +50,7 @@
             arguments,
             {"SARDINEMILL_AUTHOR": "anna"},
             store=self.store,
+            reader=EmptyFleet(),
             clock=SkippingClock(),
             output=output,
             questions=io.StringIO(answer),
--- /dev/null
+++ b/tests/test_overview.py
@@ -0,0 +1,116 @@
+"""The operators' overview of a fleet, from a stand-in store and a real instance."""
+
+import asyncio
+import io
+import json
+
+from sardinemill.cli import run
+from sardinemill.fleet.records import Coordinator, Directory, FleetRecord, GroupRecord
+from sardinemill.overview import InstanceCounters, read_overview
+from sardinemill.platform.overview import parse_counters
+from session_builders import make_configuration, make_directory
+from session_world import run_world
+
+
+def run_overview(*arguments):
+    """Run the command; returns exit status and output."""
+    output = io.StringIO()
+    return run(arguments, {}, output=output), output.getvalue()
+
+
+def test_overview_of_a_running_fleet():
+    """Guards against operators who cannot see primaries, limits and refusals."""
+
+    async def scenario(world):
+        client, _ = await world.connect()
+        await client.ask("WRITE a one")
+        settings = world.settings["i0"]
+        arguments = (
+            "--store",
+            f"http://{world.store.address}",
+            "overview",
+            "--metrics",
+            str(settings.metrics_address),
+            "127.0.0.1:1",
+        )
+        status, text = await asyncio.to_thread(run_overview, *arguments)
+        assert status == 0
+        assert "configuration 1" in text
+        assert "i0" in text
+        assert "steady" in text
+        assert "ok=1" in text
+        assert "silent" in text
+        assert "key-of-hives" not in text
+        status, text = await asyncio.to_thread(run_overview, "--json", *arguments)
+        data = json.loads(text)["data"]
+        assert data["groups"][0]["primary"] == "p"
+        assert data["workspaces"][0]["n_keys"] == 1
+        assert "key-of-hives" not in text
+        world.store.is_down = True
+        status, text = await asyncio.to_thread(run_overview, *arguments)
+        assert status == 3
+        assert text.startswith("platform unavailable")
+
+    run_world(scenario, n_instances=1)
+
+
+def test_all_wrong_addresses_are_named_at_once(capsys):
+    """Guards against an operator who has to start again for each fault."""
+    status, _ = run_overview("--store", "here", "overview", "--metrics", "there")
+    assert status == 2
+    errors = capsys.readouterr().err.splitlines()
+    assert [line.split(":")[0] for line in errors] == [
+        "--store here",
+        "--metrics there",
+    ]
+
+
+class Reader:
+    """Store's content that a test sets."""
+
+    def __init__(self, record, directory=None):
+        self.record, self.directory = record, directory or make_directory().directory
+
+    async def read_record(self):
+        return self.record, 5
+
+    async def read_directory(self):
+        return self.directory
+
+    async def read_configuration(self):
+        return make_configuration()
+
+
+class Counters:
+    """Instances that do not answer."""
+
+    async def fetch(self, address):
+        return InstanceCounters(address=address, is_answering=False)
+
+
+def test_group_without_its_primary_in_the_list():
+    """Guards against a vanished primary that looks healthy."""
+    coordinator = Coordinator(
+        name="a", data_centre="x", host="h", port=1, incarnation="1"
+    )
+    record = FleetRecord(
+        coordinators=(coordinator,), groups=(GroupRecord(group="g", primary="p"),)
+    )
+    found = asyncio.run(read_overview(Reader(record, Directory()), Counters(), ["h:1"]))
+    (group,) = found.groups
+    assert not group.is_primary_present
+    assert not found.instances[0].is_answering
+
+
+def test_counters_add_up_over_kinds_of_statements():
+    """Guards against refusals that are hidden in labels."""
+    text = """# TYPE sardinemill_statements_total counter
+sardinemill_statements_total{code="busy",kind="read"} 2.0
+sardinemill_statements_total{code="busy",kind="write"} 3.0
+sardinemill_statements_total{code="ok",kind="read"} 7.0
+# TYPE sardinemill_configuration_version gauge
+sardinemill_configuration_version 4.0
+"""
+    counters = parse_counters("h:1", text)
+    assert counters.statements == (("busy", 5), ("ok", 7))
+    assert counters.configuration_version == 4
