Freeze all data classes; start an instance of the soak once

The command line gets the platform's clients from its entry point, since nothing outside the adapter may import it.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -65,6 +65,7 @@
         self.peer_link = LinkProxy(self._peer_port, self.host)
         self.store_link = LinkProxy(store.address.port)
         self._process: asyncio.subprocess.Process | None = None
+        self._starting: asyncio.Task[None] | None = None
         self._is_ordered = False
         self._started_at = 0.0
         self.is_paused = False
@@ -98,23 +99,31 @@
         return self._directory / f"{self.name}.settings"
 
     async def start(self) -> None:
-        """Start the process unless it runs."""
+        """Start the process unless it runs or is being started.
+
+        Faults overlap, and the end of a run cuts them short in the middle of a start.
+        """
         if self.is_running:
             return
+        if self._starting is None or self._starting.done():
+            self._starting = asyncio.create_task(self._spawn())
+        await asyncio.shield(self._starting)
+
+    async def _spawn(self) -> None:
         environment = {
             **os.environ,
             "SARDINEMILL_BOOT": str(self._settings_path),
             "SARDINEMILL_ADVERTISED_PEER": f"127.0.0.1:{self.peer_link.port}",
         }
-        self._is_ordered = False
-        self.is_paused = False
-        self._started_at = time.monotonic()
         log = (self._directory / f"{self.name}.jsonl").open("ab")
         errors = (self._directory / f"{self.name}.err").open("ab")
         with log, errors:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, str(SCRIPT), stdout=log, stderr=errors, env=environment
             )
+        self._is_ordered = False
+        self.is_paused = False
+        self._started_at = time.monotonic()
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -33,4 +33,12 @@
         plan=SoakPlan(seed=107, seconds=25.0),
         cause="soak: a connection took a port of an instance that was down",
     ),
+    Regression(
+        plan=SoakPlan(seed=205, seconds=20.0),
+        cause="soak: a killed process was looked at while the next one started",
+    ),
+    Regression(
+        plan=SoakPlan(seed=236, seconds=20.0),
+        cause="soak: two faults started the same instance twice",
+    ),
 )
--- a/src/sardinemill/adapters/peer_traffic.py
+++ b/src/sardinemill/adapters/peer_traffic.py
@@ -1,7 +1,5 @@
 """Checks that every peer link makes on what it receives, and its counters."""
 
-from dataclasses import dataclass
-
 from ..codecs import decode_message
 from ..control import PeerEnvelope
 from ..errors import CodecError
@@ -10,7 +8,6 @@
 from ..members import Heartbeat
 
 
-@dataclass(slots=True)
 class PeerCounters:
     """Messages of one link since its start.
 
@@ -20,12 +17,13 @@
     :ivar n_replaced: sockets replaced because their peer was silent.
     """
 
-    n_sent: int = 0
-    n_received: int = 0
-    n_full: int = 0
-    n_foreign: int = 0
-    n_malformed: int = 0
-    n_replaced: int = 0
+    def __init__(self) -> None:
+        self.n_sent = 0
+        self.n_received = 0
+        self.n_full = 0
+        self.n_foreign = 0
+        self.n_malformed = 0
+        self.n_replaced = 0
 
 
 class Receiver:
--- a/src/sardinemill/cli.py
+++ b/src/sardinemill/cli.py
@@ -20,9 +20,7 @@
 from .errors import SardinemillError, StoreError
 from .interfaces import Clock, Store
 from .operations import OperationContext
-from .overview import FleetReader, read_overview
-from .platform.overview import MetricsReader, PlatformReader
-from .platform.settings import parse_address
+from .overview import CountersSource, FleetReader, read_overview
 from .presentation import format_overview
 from .session import (
     Command,
@@ -64,12 +62,30 @@
     """Reader of a fleet's state with life-cycle hooks."""
 
 
+class PlatformClients(Protocol):
+    """Makes the clients for a fleet on a platform."""
+
+    def open_reader(self, url: str) -> FleetClient:
+        """Make a reader of the store at an address.
+
+        :raises ValueError: when it is none.
+        """
+        ...
+
+    def open_counters(self, addresses: Sequence[str]) -> CountersSource:
+        """Make a source of the counters of some instances.
+
+        :raises ValueError: with all addresses that are none.
+        """
+        ...
+
+
 class StoreClient(Store, Client, Protocol):
     """Store with life-cycle hooks."""
 
 
 def main() -> None:
-    """Entry point of the console script."""
+    """Entry point without a platform, ``python -m sardinemill.cli``."""
     sys.exit(run(sys.argv[1:], os.environ))
 
 
@@ -78,15 +94,15 @@
     environment: Mapping[str, str],
     *,
     store: StoreClient | None = None,
-    reader: FleetClient | None = None,
+    platform: PlatformClients | None = None,
     clock: Clock | None = None,
     output: TextIO | None = None,
     questions: TextIO | None = None,
 ) -> int:
     """Run one command.
 
-    :param store: replaces the HTTP client, for tests; ``reader`` the one of the
-        platform, ``clock`` the system's clock.
+    :param store: replaces the HTTP client, for tests; ``clock`` the system's clock.
+    :param platform: makes the clients of the platform that a fleet runs on.
     :param questions: where answers to questions are read from.
     :returns: exit status.
     """
@@ -110,7 +126,7 @@
             _print_report(report, options.json, output)
             return int(report.status)
         if isinstance(command, OverviewCommand):
-            report = asyncio.run(_show_overview(command, options.store, reader))
+            report = asyncio.run(_show_overview(command, options.store, platform))
             _print_report(report, options.json, output)
             return int(report.status)
         client = store or _open_store(options.store)
@@ -183,29 +199,28 @@
 
 
 async def _show_overview(
-    command: OverviewCommand, url: str, reader: FleetClient | None
+    command: OverviewCommand, url: str, platform: PlatformClients | None
 ) -> Report:
     """Read a fleet on the platform.
 
     :raises ValueError: with all wrong addresses at once.
     """
-    faults = [
-        f"--metrics {item}: not an IP address and port"
-        for item in command.metrics
-        if parse_address(item) is None
-    ]
-    if reader is None:
-        address = parse_address(url.removeprefix("http://").rstrip("/"))
-        if address is None:
-            text = f"--store {url or '(none)'}: not http://, an IP address and a port"
-            faults.insert(0, text)
-        else:
-            reader = PlatformReader(address)
-    if reader is None or faults:
+    if platform is None:
+        raise ValueError("overview needs a platform; none is built in")
+    faults: list[str] = []
+    try:
+        reader = platform.open_reader(url)
+    except ValueError as error:
+        faults.append(str(error))
+    try:
+        counters = platform.open_counters(command.metrics)
+    except ValueError as error:
+        faults.append(str(error))
+    if faults:
         raise ValueError("\n".join(faults))
     await reader.start()
     try:
-        found = await read_overview(reader, MetricsReader(), command.metrics)
+        found = await read_overview(reader, counters, command.metrics)
     except StoreError as error:
         text = f"platform unavailable: {error.message}\n"
         return Report(status=ExitStatus.UNAVAILABLE, text=text)
--- a/src/sardinemill/emulator/database.py
+++ b/src/sardinemill/emulator/database.py
@@ -3,8 +3,6 @@
 It has no sockets and no clock.
 """
 
-from dataclasses import dataclass, field
-
 from ..errors import (
     IdempotencyKeyReused,
     StatementError,
@@ -37,14 +35,14 @@
 IDEMPOTENCY_KEPT_SECONDS = 24 * 3600.0
 
 
-@dataclass(slots=True)
 class _Transaction:
     """Open transaction; it works on a copy, so readers never see its changes."""
 
-    workspace: str
-    data: WorkspaceData
-    last_used: float
-    statements: list[LoggedStatement] = field(default_factory=list)
+    def __init__(self, workspace: str, data: WorkspaceData, last_used: float) -> None:
+        self.workspace = workspace
+        self.data = data
+        self.last_used = last_used
+        self.statements: list[LoggedStatement] = []
 
 
 class Database:
--- a/src/sardinemill/emulator/session_database.py
+++ b/src/sardinemill/emulator/session_database.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 MAX_LINE_BYTES = 1024 * 1024
 
@@ -22,17 +22,17 @@
     session: int
 
 
-@dataclass(slots=True)
 class _Peer:
     """State of one connection at a database."""
 
-    number: int
-    workspace: str = ""
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: dict[str, tuple[str, str]] = field(default_factory=dict)
-    state: str = "I"
-    is_read_only: bool = False
-    writes: list[tuple[str, str]] = field(default_factory=list)
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.workspace = ""
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.state = "I"
+        self.is_read_only = False
+        self.writes: list[tuple[str, str]] = []
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/filters/account.py
+++ b/src/sardinemill/filters/account.py
@@ -26,7 +26,6 @@
 NO_OWNER_EXTRA_SECONDS = 2.75
 
 
-@dataclass(slots=True)
 class LocalLoan:
     """Loan as its borrower holds it.
 
@@ -36,12 +35,21 @@
     :param return_at: when unspent tokens are sent back.
     """
 
-    borrow_id: str
-    owner: str
-    epoch: int
-    n_tokens: float
-    expires_at: float
-    return_at: float
+    def __init__(
+        self,
+        borrow_id: str,
+        owner: str,
+        epoch: int,
+        n_tokens: float,
+        expires_at: float,
+        return_at: float,
+    ) -> None:
+        self.borrow_id = borrow_id
+        self.owner = owner
+        self.epoch = epoch
+        self.n_tokens = n_tokens
+        self.expires_at = expires_at
+        self.return_at = return_at
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/filters/configuration_state.py
+++ b/src/sardinemill/filters/configuration_state.py
@@ -1,7 +1,7 @@
 """Configuration held by an instance, and the one that it is still assembling."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ..configuration import EMPTY_CONFIGURATION, Configuration
 from ..documents import Document, DocumentCodec, Head, Part, join_parts
@@ -15,18 +15,18 @@
 NEVER = float("-inf")
 
 
-@dataclass(slots=True)
 class _Assembly:
     """Version whose parts are being collected.
 
     :param encoded: part name to bytes, as far as they have arrived.
     """
 
-    head: Head = field(default_factory=Head)
-    head_bytes: bytes = b""
-    encoded: dict[str, bytes] = field(default_factory=dict)
-    decoded: dict[str, Part] = field(default_factory=dict)
-    confirmed_at: float = NEVER
+    def __init__(self, head: Head | None = None, head_bytes: bytes = b"") -> None:
+        self.head = Head() if head is None else head
+        self.head_bytes = head_bytes
+        self.encoded: dict[str, bytes] = {}
+        self.decoded: dict[str, Part] = {}
+        self.confirmed_at: float = NEVER
 
     def list_lacking(self) -> tuple[str, ...]:
         return tuple(sorted(set(self.head.parts) - set(self.encoded)))
--- a/src/sardinemill/filters/failover.py
+++ b/src/sardinemill/filters/failover.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ..control import PeerEnvelope, PromotionOrdered
 from ..events import Event, EventName
@@ -39,7 +38,6 @@
 STALL_SPACING_SECONDS = 10.0
 
 
-@dataclass(slots=True)
 class GroupControl:
     """Schedule of one group at this home.
 
@@ -49,17 +47,26 @@
     :ivar reported_term: term whose choice was logged.
     """
 
-    watch: PrimaryWatch
-    homes: tuple[str, ...]
-    rank: int
-    next_probe: float
-    readmission: Readmission = field(default_factory=Readmission)
-    election: Election | None = None
-    start_at: float | None = None
-    quiet_until: float = float("-inf")
-    stall_allowed_at: float = float("-inf")
-    n_abandoned: int = 0
-    reported_term: int = 0
+    def __init__(
+        self,
+        watch: PrimaryWatch,
+        homes: tuple[str, ...],
+        rank: int,
+        next_probe: float,
+        quiet_until: float = float("-inf"),
+        stall_allowed_at: float = float("-inf"),
+    ) -> None:
+        self.watch = watch
+        self.homes = homes
+        self.rank = rank
+        self.next_probe = next_probe
+        self.readmission: Readmission = Readmission()
+        self.election: Election | None = None
+        self.start_at: float | None = None
+        self.quiet_until = quiet_until
+        self.stall_allowed_at = stall_allowed_at
+        self.n_abandoned = 0
+        self.reported_term = 0
 
     @property
     def next_due(self) -> float:
--- a/src/sardinemill/filters/lending.py
+++ b/src/sardinemill/filters/lending.py
@@ -1,7 +1,6 @@
 """Owner side of the rate limit: lends tokens of the shards that it holds."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ..configuration import EMPTY_CONFIGURATION, Configuration, ConfigurationChanged
 from ..control import PeerEnvelope
@@ -35,7 +34,6 @@
 PRESSURE_SECONDS = 10.0
 
 
-@dataclass(slots=True)
 class ShardBook:
     """Ledgers of one shard under one epoch.
 
@@ -44,13 +42,19 @@
     :param short: workspaces with a short grant since the last question.
     """
 
-    lease: ShardLease
-    ledgers: dict[str, Ledger] = field(default_factory=dict)
-    pledges: dict[int, float] = field(default_factory=dict)
-    asked_at: dict[int, float] = field(default_factory=dict)
-    short: set[str] = field(default_factory=set)
-    pressed_until: float = float("-inf")
-    next_query_at: float = float("-inf")
+    def __init__(
+        self,
+        lease: ShardLease,
+        pressed_until: float = float("-inf"),
+        next_query_at: float = float("-inf"),
+    ) -> None:
+        self.lease = lease
+        self.ledgers: dict[str, Ledger] = {}
+        self.pledges: dict[int, float] = {}
+        self.asked_at: dict[int, float] = {}
+        self.short: set[str] = set()
+        self.pressed_until = pressed_until
+        self.next_query_at = next_query_at
 
     def may_lend(self, now: float) -> bool:
         """Tell whether the lease still covers a grant."""
--- a/src/sardinemill/fleet/checks.py
+++ b/src/sardinemill/fleet/checks.py
@@ -56,7 +56,6 @@
 }
 
 
-@dataclass(slots=True)
 class _Check:
     """Repeated reading of one part.
 
@@ -65,10 +64,11 @@
     :ivar due_at: the next call does not begin before.
     """
 
-    checked_at: float = NEVER
-    is_running: bool = False
-    due_at: float = NEVER
-    n_failures: int = 0
+    def __init__(self) -> None:
+        self.checked_at: float = NEVER
+        self.is_running = False
+        self.due_at: float = NEVER
+        self.n_failures = 0
 
 
 class StoreChecks:
--- a/src/sardinemill/fleet/promotion.py
+++ b/src/sardinemill/fleet/promotion.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from enum import StrEnum
 
 from ..events import Event, EventName
@@ -72,7 +72,6 @@
     RECORD = "record the new primary"
 
 
-@dataclass(slots=True)
 class _Change:
     """Change that this instance carries out.
 
@@ -80,30 +79,38 @@
     :ivar is_fresh: no holder before this one may have ordered a promotion.
     """
 
-    began_at: float
-    record: GroupRecord
-    reason: str
-    is_planned: bool
-    fence: int = 0
-    is_fresh: bool = True
-    step: Step = Step.WAIT
-    due_at: float = 0.0
-    measured_since: float = 0.0
-    statuses: dict[str, DatabaseStatus] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
-    target: str = ""
-    term: int = 0
-
-
-@dataclass(slots=True)
+    def __init__(
+        self,
+        began_at: float,
+        record: GroupRecord,
+        reason: str,
+        is_planned: bool,
+        is_fresh: bool = True,
+    ) -> None:
+        self.began_at = began_at
+        self.record = record
+        self.reason = reason
+        self.is_planned = is_planned
+        self.fence = 0
+        self.is_fresh = is_fresh
+        self.step: Step = Step.WAIT
+        self.due_at: float = 0.0
+        self.measured_since: float = 0.0
+        self.statuses: dict[str, DatabaseStatus] = {}
+        self.refused: set[str] = set()
+        self.target = ""
+        self.term = 0
+
+
 class _Group:
     """What is known about the primary of a group."""
 
-    suspected_since: float | None = None
-    probe_due_at: float = NEVER
-    proposed_at: float = NEVER
-    changing_since: float | None = None
-    changing_key: tuple[str, int, int] = ("", 0, 0)
+    def __init__(self) -> None:
+        self.suspected_since: float | None = None
+        self.probe_due_at: float = NEVER
+        self.proposed_at: float = NEVER
+        self.changing_since: float | None = None
+        self.changing_key: tuple[str, int, int] = ("", 0, 0)
 
 
 class Promotion:
--- a/src/sardinemill/fleet/tokens.py
+++ b/src/sardinemill/fleet/tokens.py
@@ -6,7 +6,6 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from ..control import PeerEnvelope
 from ..groups import rank_candidates
@@ -26,14 +25,16 @@
 DEPUTY_FRACTION = 0.2
 
 
-@dataclass(slots=True)
 class TokenBucket:
     """Tokens of one workspace at a lender."""
 
-    rate: float
-    capacity: float
-    level: float
-    updated_at: float
+    def __init__(
+        self, rate: float, capacity: float, level: float, updated_at: float
+    ) -> None:
+        self.rate = rate
+        self.capacity = capacity
+        self.level = level
+        self.updated_at = updated_at
 
     def refill(self, now: float) -> None:
         """Add what the rate brought since the last call."""
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -3,7 +3,6 @@
 import math
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ..control import PeerEnvelope
 from ..fleet.messages import TokenGrant, TokenRequest
@@ -29,12 +28,12 @@
 NEVER = float("-inf")
 
 
-@dataclass(slots=True)
 class SmoothedRate:
     """Events a second over the last seconds, older ones weighing less."""
 
-    value: float = 0.0
-    updated_at: float = NEVER
+    def __init__(self) -> None:
+        self.value: float = 0.0
+        self.updated_at: float = NEVER
 
     def add(self, now: float) -> None:
         """Count one event."""
@@ -49,7 +48,6 @@
         return self.value * math.exp(-elapsed / RATE_WINDOW_SECONDS)
 
 
-@dataclass(slots=True)
 class _Account:
     """Tokens and demand of one workspace at this instance.
 
@@ -59,15 +57,16 @@
     :ivar alone_level: tokens for admission without a lender.
     """
 
-    level: float = 0.0
-    expires_at: float = NEVER
-    asked_rate: SmoothedRate = field(default_factory=SmoothedRate)
-    lent_rate: SmoothedRate = field(default_factory=SmoothedRate)
-    alone_level: float = 1.0
-    alone_at: float = NEVER
-    waiting: deque[StatementRequest] = field(default_factory=deque)
-    asked: tuple[int, float] | None = None
-    refused_until: float = NEVER
+    def __init__(self) -> None:
+        self.level: float = 0.0
+        self.expires_at: float = NEVER
+        self.asked_rate: SmoothedRate = SmoothedRate()
+        self.lent_rate: SmoothedRate = SmoothedRate()
+        self.alone_level: float = 1.0
+        self.alone_at: float = NEVER
+        self.waiting: deque[StatementRequest] = deque()
+        self.asked: tuple[int, float] | None = None
+        self.refused_until: float = NEVER
 
 
 class Admission:
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -6,7 +6,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .messages import (
     Dispatch,
@@ -45,7 +45,6 @@
     is_begin: bool = False
 
 
-@dataclass(slots=True, eq=False)
 class Connection:
     """One connection, for one workspace.
 
@@ -56,18 +55,21 @@
     :ivar is_abandoned: its transaction is to be rolled back.
     """
 
-    number: int
-    database: str
-    workspace: str
-    used_at: float
-    is_open: bool = False
-    values: dict[str, str] = field(default_factory=dict, repr=False)
-    prepared: set[PreparedStatement] = field(default_factory=set)
-    session_id: int | None = None
-    dispatch: Dispatch | None = None
-    setup: tuple[SetupStep, ...] = ()
-    is_rolling_back: bool = False
-    is_abandoned: bool = False
+    def __init__(
+        self, number: int, database: str, workspace: str, used_at: float
+    ) -> None:
+        self.number = number
+        self.database = database
+        self.workspace = workspace
+        self.used_at = used_at
+        self.is_open = False
+        self.values: dict[str, str] = {}
+        self.prepared: set[PreparedStatement] = set()
+        self.session_id: int | None = None
+        self.dispatch: Dispatch | None = None
+        self.setup: tuple[SetupStep, ...] = ()
+        self.is_rolling_back = False
+        self.is_abandoned = False
 
     @property
     def is_idle(self) -> bool:
--- a/src/sardinemill/sessions/conversations.py
+++ b/src/sardinemill/sessions/conversations.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ..events import Event, EventName
 from ..interfaces import Emission
@@ -34,7 +34,6 @@
 ANONYMOUS = "-"
 
 
-@dataclass(slots=True)
 class _Transaction:
     """Open transaction of a session.
 
@@ -42,14 +41,14 @@
     :ivar is_failed: it holds nothing any more; the client has to end it.
     """
 
-    route: Route
-    workspace: str
-    is_read_only: bool
-    is_open: bool = False
-    is_failed: bool = False
+    def __init__(self, route: Route, workspace: str, is_read_only: bool) -> None:
+        self.route = route
+        self.workspace = workspace
+        self.is_read_only = is_read_only
+        self.is_open = False
+        self.is_failed = False
 
 
-@dataclass(slots=True)
 class _Session:
     """State of one client connection.
 
@@ -58,15 +57,18 @@
     :ivar active_at: end of the last statement.
     """
 
-    session_id: int
-    database: str
-    key: str = field(repr=False)
-    values: dict[str, str] = field(default_factory=dict, repr=False)
-    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
-    floors: dict[str, LogPosition] = field(default_factory=dict)
-    transaction: _Transaction | None = None
-    request: StatementRequest | None = None
-    active_at: float = 0.0
+    def __init__(
+        self, session_id: int, database: str, key: str, active_at: float = 0.0
+    ) -> None:
+        self.session_id = session_id
+        self.database = database
+        self.key = key
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, PreparedStatement] = {}
+        self.floors: dict[str, LogPosition] = {}
+        self.transaction: _Transaction | None = None
+        self.request: StatementRequest | None = None
+        self.active_at = active_at
 
 
 class Conversations:
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ..events import Event, EventName
 from ..fleet.records import (
@@ -62,19 +61,19 @@
 NEVER = float("-inf")
 
 
-@dataclass(slots=True)
 class _Attempt:
     """Statement that is not answered yet.
 
     :ivar tried: databases that failed it.
     """
 
-    request: StatementRequest
-    tried: set[str] = field(default_factory=set)
-    n_attempts: int = 0
-    was_primary: bool = False
-    after: LogPosition | None = None
-    evidence_age_seconds: float | None = None
+    def __init__(self, request: StatementRequest) -> None:
+        self.request = request
+        self.tried: set[str] = set()
+        self.n_attempts = 0
+        self.was_primary = False
+        self.after: LogPosition | None = None
+        self.evidence_age_seconds: float | None = None
 
 
 class Placement:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -18,7 +18,13 @@
 
 
 class EmptyFleet:
-    """Platform's store of a fleet that has not started."""
+    """Platform of a fleet that has not started."""
+
+    def open_reader(self, url):
+        return self
+
+    def open_counters(self, addresses):
+        return self
 
     async def start(self):
         pass
@@ -50,7 +56,7 @@
             arguments,
             {"SARDINEMILL_AUTHOR": "anna"},
             store=self.store,
-            reader=EmptyFleet(),
+            platform=EmptyFleet(),
             clock=SkippingClock(),
             output=output,
             questions=io.StringIO(answer),
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -7,6 +7,7 @@
 from sardinemill.cli import run
 from sardinemill.fleet.records import Coordinator, Directory, FleetRecord, GroupRecord
 from sardinemill.overview import InstanceCounters, read_overview
+from sardinemill.platform.command_line import PlatformTools
 from sardinemill.platform.overview import parse_counters
 from session_builders import make_configuration, make_directory
 from session_world import run_world
@@ -15,7 +16,8 @@
 def run_overview(*arguments):
     """Run the command; returns exit status and output."""
     output = io.StringIO()
-    return run(arguments, {}, output=output), output.getvalue()
+    status = run(arguments, {}, platform=PlatformTools(), output=output)
+    return status, output.getvalue()
 
 
 def test_overview_of_a_running_fleet():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -221,6 +221,27 @@
     asyncio.run(scenario())
 
 
+def test_two_faults_start_an_instance_once(tmp_path):
+    """Guards against a second process on the ports of the first."""
+
+    async def scenario():
+        instance = InstanceProcess(0, "x", SessionStore(lambda *_: True), tmp_path)
+        await instance.prepare()
+        starting = [asyncio.create_task(instance.start()) for _ in range(3)]
+        starting[0].cancel()
+        await asyncio.gather(*starting, return_exceptions=True)
+        await asyncio.sleep(2 * INTERPRETER_SECONDS)
+        await instance.kill()
+        await instance.start()
+        await asyncio.sleep(2 * INTERPRETER_SECONDS)
+        instance.check()
+        assert instance.violations == []
+        assert "already in use" not in (tmp_path / "i0.err").read_text()
+        await instance.stop()
+
+    asyncio.run(scenario())
+
+
 def test_short_run_breaks_no_promise(tmp_path):
     """Guards against a fault of the real processes, and against a soak that rots."""
     plan = SoakPlan(seed=1, n_instances=3, n_clients=6, seconds=6.0)
