Send only positions that changed; measure the fleet's messages again

Cause: a question and an answer carried the positions of all groups each time, 54.8 B a group; at 303 groups that is 252 KB/s for each daemon against 9 KB/s (docs/CAPACITY.md, arithmetic).

Change: a question carries what its sender saw itself since its last answered question, an answer what is new since the asker's last answered one. A lost message is made up for by the next; a new asker gets everything.

--- a/bench/slopes_sessions.py
+++ b/bench/slopes_sessions.py
@@ -7,7 +7,12 @@
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.codecs import encode_message
 from sardinemill.control import PeerEnvelope
-from sardinemill.fleet.messages import FleetAnswer, FleetQuestion, PositionReport
+from sardinemill.fleet.messages import (
+    FleetAnswer,
+    FleetQuestion,
+    Introduction,
+    PositionReport,
+)
 from sardinemill.fleet.records import (
     DatabaseEntry,
     Directory,
@@ -82,13 +87,16 @@
 def _make_question(number: int, n_groups: int) -> FleetQuestion:
     return FleetQuestion(
         number=number,
-        instance=f"instance-{number}",
-        data_centre="dc0",
-        host="10.0.0.1",
-        port=7560,
         record_revision=0,
         configuration_version=0,
         directory_digest="",
+        introduction=Introduction(
+            instance=f"instance-{number}",
+            data_centre="dc0",
+            host="10.0.0.1",
+            port=7560,
+        ),
+        wants_positions=True,
         positions=tuple(
             PositionReport(
                 group=f"group{group}", term=3, offset=120_000, age_seconds=0.123
@@ -154,7 +162,8 @@
 
 
 def _ask(state: FleetState, question: FleetQuestion) -> None:
-    envelope = PeerEnvelope(peer=question.instance, message=question)
+    assert question.introduction is not None
+    envelope = PeerEnvelope(peer=question.introduction.instance, message=question)
     for emission in state.handle(envelope, NOW):
         if emission.outlet == "peers":
             encode_message(emission.message.message)
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -109,7 +109,7 @@
         if isinstance(message, PeerEnvelope):
             return self._take_envelope(message, now)
         if isinstance(message, PositionSeen):
-            self._positions.merge(message)
+            self._positions.merge(message, now)
             return ()
         if isinstance(message, DatabaseContact):
             return self._take_contact(message)
@@ -289,9 +289,9 @@
         return [Emission("contacts", contact)]
 
     def _tell_positions(
-        self, reports: Sequence[PositionReport], sent_at: float
+        self, reports: Sequence[PositionReport], sent_at: float, now: float
     ) -> list[Emission]:
-        new = self._positions.take_reports(reports, sent_at)
+        new = self._positions.take_reports(reports, sent_at, now)
         return [Emission("positions", seen) for seen in new]
 
     # Questions and answers
@@ -354,8 +354,16 @@
         echo = self._asking.find_echo(peer)
         is_known = self._asking.is_answered(peer)
         self._joining.note_asked(peer, now)
+        positions: tuple[PositionReport, ...] = ()
+        if exchanges:
+            # Coordinators pass on what they heard, the others what they saw.
+            positions = self._positions.make_reports(
+                now,
+                since=self._asking.find_exchanged_at(peer),
+                is_own_only=not self._joining.is_coordinator(self._record),
+            )
         question = FleetQuestion(
-            number=self._asking.begin(peer, now),
+            number=self._asking.begin(peer, now, exchanges=exchanges),
             record_revision=self._revision,
             configuration_version=self._lists.configuration.version,
             directory_digest=self._lists.digest,
@@ -363,7 +371,7 @@
             echo_seconds=echo.find_age(now),
             introduction=None if is_known else self._introduce(),
             wants_positions=exchanges,
-            positions=self._positions.make_reports(now) if exchanges else (),
+            positions=positions,
             contacts=contacts,
         )
         return Emission("peers", PeerEnvelope(peer=peer, message=question))
@@ -386,12 +394,12 @@
     def _take_question(
         self, peer: str, question: FleetQuestion, now: float
     ) -> list[Emission]:
-        sent_at = self._askers.take(peer, question, now)
-        if sent_at is None:
+        arrival = self._askers.take(peer, question, now)
+        if arrival is None:
             return []
         # Going through all askers for each question would grow with their square.
         emissions = self._update_links() if self._askers.has_changed else []
-        emissions += self._tell_positions(question.positions, sent_at)
+        emissions += self._tell_positions(question.positions, arrival.sent_at, now)
         for contact in question.contacts:
             heard = DatabaseContact(
                 contact.database, contact.is_alive, now - contact.age_seconds
@@ -412,7 +420,7 @@
             if question.directory_digest != self._lists.digest
             else None,
             directory_age_seconds=self._checks.find_age("directory", now),
-            positions=self._positions.make_reports(now)
+            positions=self._positions.make_reports(now, since=arrival.exchanged_at)
             if question.wants_positions
             else (),
             n_instances=self._n_members,
@@ -457,7 +465,7 @@
             emissions += self._lists.adopt_directory(answer.directory, read_at)
         if answer.directory is None or answer.directory == self._lists.directory:
             self._checks.note("directory", read_at)
-        emissions += self._tell_positions(answer.positions, asked_at)
+        emissions += self._tell_positions(answer.positions, asked_at, now)
         self._writing.resolve(self._revision)
         return emissions
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -528,24 +528,47 @@
 
 
 def test_positions_are_exchanged_with_one_coordinator(network):
-    """Guards against traffic between data centres that repeats each position thrice."""
+    """Guards against traffic between data centres that repeats each position."""
     seen = PositionSeen("g", LogPosition(1, 5), network.now)
     network.hand("f", seen)
     questions = list_questions(network, "f", 2)
     assert {peer for peer, _ in questions} == set(network.coordinators)
     for peer, question in questions:
-        is_first = peer == network.coordinators[0]
-        assert question.wants_positions == bool(question.positions) == is_first
+        assert question.wants_positions == (peer == network.coordinators[0])
+    carriers = [peer for peer, question in questions if question.positions]
+    assert carriers == [network.coordinators[0]]
     assert all(network.positions[name].position == seen.position for name in "abcde")
 
 
+def test_positions_are_repeated_until_they_are_answered(network):
+    """Guards against a position that is lost with one message."""
+    network.peer_cut.add("f")
+    network.hand("f", PositionSeen("g", LogPosition(1, 5), network.now))
+    network.run(1)
+    assert "a" not in network.positions
+    network.peer_cut.clear()
+    network.run(1.5)
+    assert set(network.positions) >= set("abcde")
+
+
+def test_new_instance_learns_all_positions(network):
+    """Guards against an instance that knows only what changes after its start."""
+    network.hand("f", PositionSeen("g", LogPosition(1, 5), network.now))
+    network.run(2)
+    network.start("z", 30)
+    network.run(2)
+    assert network.positions["z"].position == LogPosition(1, 5)
+
+
 def test_positions_go_to_all_coordinators_while_the_first_is_silent(network):
     """Guards against positions that grow old until a dead coordinator is replaced."""
     network.stop(network.coordinators[0])
     network.hand("f", PositionSeen("g", LogPosition(1, 5), network.now))
     network.run(0.5)
+    network.hand("f", PositionSeen("g", LogPosition(1, 6), network.now))
     questions = list_questions(network, "f", 0.5)
-    assert questions
+    assert {peer for peer, _ in questions} == set(network.coordinators)
+    assert all(question.wants_positions for _, question in questions)
     assert all(question.positions for _, question in questions)
 
 
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,18 @@
+"""The slopes of docs/CAPACITY.md can be measured."""
+
+from bench import slopes_sessions
+
+
+def test_fleet_messages_are_measured():
+    """Guards against a measurement that no longer fits the messages."""
+    fits = slopes_sessions.measure_fleet_messages()
+    assert len(fits) == 3
+    assert all(fit.slope > 0 for fit in fits)
+
+
+def test_questions_are_measured(monkeypatch):
+    """Guards against a coordinator that the measurement cannot drive."""
+    monkeypatch.setattr(slopes_sessions, "N_MEMBERS", (3, 5, 7))
+    monkeypatch.setattr(slopes_sessions, "N_ROUNDS", 2)
+    (fit,) = slopes_sessions.measure_questions()
+    assert fit.quantity.startswith("ms for a round")
