--- a/soak/links.py
+++ b/soak/links.py
@@ -129,6 +129,7 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that its other end sees a reset."""
     connection = writer.get_extra_info("socket")
-    if connection is not None:
+    # The other end may have closed the connection a moment ago.
+    with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
     writer.transport.abort()
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -41,4 +41,12 @@
         plan=SoakPlan(seed=236, seconds=20.0),
         cause="soak: two faults started the same instance twice",
     ),
+    Regression(
+        plan=SoakPlan(seed=213, seconds=20.0),
+        cause="soak: the reset of a connection that was closed ended the run",
+    ),
+    Regression(
+        plan=SoakPlan(seed=245, seconds=20.0),
+        cause="soak: two faults started the same instance twice",
+    ),
 )
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -182,6 +182,9 @@
         return client
 
     async def _stop(self) -> None:
+        # Processes first: none may be left when something else fails.
+        for instance in self._instances:
+            await instance.kill()
         for instance in self._instances:
             await instance.stop()
         await self._group.stop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -160,6 +160,7 @@
         writer.write(b"x")
         assert await reader.read(1) == b"x"
         link.reset()
+        link.reset()
         with pytest.raises(ConnectionError):
             await reader.readexactly(1)
         link.set_faults(LinkFaults(refuses=True))
