--- a/soak/databases.py
+++ b/soak/databases.py
@@ -1,6 +1,6 @@
 """Group of stand-in databases behind links, as the soak's instances see it."""
 
-from sardinemill.emulator.session_database import SessionDatabase
+from sardinemill.emulator.session_database import Commit, SessionDatabase
 from sardinemill.emulator.session_store import SessionStore
 
 from .links import HEALTHY, LinkProxy
@@ -9,6 +9,21 @@
 NAMES = ("db1", "db2", "db3")
 
 
+class GroupMember(SessionDatabase):
+    """Database whose replicas hold the log of the primary that leads.
+
+    A superseded primary goes on until it is told to step down. What it commits until
+    then is rolled back when it follows.
+    """
+
+    def append_commit(self, commit: Commit) -> None:
+        """Add a commit here and at the replicas."""
+        self.log.append(commit)
+        for follower in self.followers:
+            if follower.is_up and not follower.is_primary:
+                follower.log = list(self.log)
+
+
 class DatabaseGroup:
     """Three databases; at most one of them is down at a time.
 
@@ -21,7 +36,7 @@
     def __init__(self, store: SessionStore) -> None:
         self._store = store
         self.databases = {
-            name: SessionDatabase(name, GROUP, is_primary=name == NAMES[0])
+            name: GroupMember(name, GROUP, is_primary=name == NAMES[0])
             for name in NAMES
         }
         self.links: dict[str, LinkProxy] = {}
@@ -54,20 +69,24 @@
         database = self.databases.get(name)
         if group != GROUP or database is None or not database.is_up:
             return False
-        if not database.is_primary:
+        if database is not self.primary:
+            # A superseded primary may be chosen again before it has stepped down.
+            database.is_primary = False
             database.term = max(item.term for item in self.databases.values())
             database.promote()
             self._follow(database)
         return True
 
     def _follow(self, primary: SessionDatabase) -> None:
-        """Make all others replicas of a primary; they drop what it does not hold."""
+        """Make the replicas follow a primary; they drop what it does not hold."""
         for item in self.databases.values():
             item.followers = []
-        followers = [item for item in self.databases.values() if item is not primary]
+        followers: list[SessionDatabase] = [
+            item for item in self.databases.values() if item is not primary
+        ]
         primary.followers = followers
         for item in followers:
-            if item.is_up:
+            if item.is_up and not item.is_primary:
                 item.log = list(primary.log)
 
     async def crash(self, name: str) -> bool:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -49,4 +49,12 @@
         plan=SoakPlan(seed=245, seconds=20.0),
         cause="soak: two faults started the same instance twice",
     ),
+    Regression(
+        plan=SoakPlan(seed=304, seconds=20.0),
+        cause="soak: a superseded database mixed its own commits with the leader's",
+    ),
+    Regression(
+        plan=SoakPlan(seed=308, seconds=20.0),
+        cause="soak: a superseded database that was promoted again did not lead",
+    ),
 )
--- a/src/sardinemill/emulator/session_database.py
+++ b/src/sardinemill/emulator/session_database.py
@@ -190,6 +190,10 @@
             return
         commit = Commit(self.term, tuple(peer.writes), peer.number)
         peer.writes.clear()
+        self.append_commit(commit)
+
+    def append_commit(self, commit: Commit) -> None:
+        """Add a commit here and at the replicas that hold all before it."""
         self.log.append(commit)
         for follower in self.followers:
             if follower.is_up and len(follower.log) == len(self.log) - 1:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from soak.links import HEALTHY, LinkFaults, LinkProxy
 from soak.runs import SoakPlan, SoakRun
 
+from sardinemill.emulator.session_database import Commit
 from sardinemill.emulator.session_store import SessionStore
 
 
@@ -191,6 +192,37 @@
     asyncio.run(scenario())
 
 
+def make_commit(database, value):
+    """Commit a write at a database, as its clients do."""
+    database.append_commit(Commit(database.term, (("a", value),), 1))
+
+
+def test_superseded_primary_is_rolled_back_and_may_lead_again():
+    """Guards against a stand-in that loses or mixes commits, as in seeds 304 and 308."""
+
+    async def scenario():
+        group = DatabaseGroup(SessionStore(lambda *_: True))
+        await group.start()
+        first, second, third = group.databases.values()
+        make_commit(first, "a.1")
+        group.promote(GROUP, third.name)
+        make_commit(first, "a.2")
+        make_commit(third, "a.3")
+        assert [item.writes[0][1] for item in second.log] == ["a.1", "a.3"]
+        group.promote(GROUP, second.name)
+        # The third one has not stepped down.
+        group.promote(GROUP, third.name)
+        assert group.primary is third
+        first.is_primary = second.is_primary = False
+        make_commit(third, "a.4")
+        for database in (first, second):
+            values = [item.writes[0][1] for item in database.log]
+            assert values == ["a.1", "a.3", "a.4"]
+        await group.stop()
+
+    asyncio.run(scenario())
+
+
 def test_schedule_follows_its_seed():
     """Guards against a seed that cannot be repeated."""
     first, second = (make_schedule(Random(5), 4, 60.0) for _ in range(2))
