--- a/soak/databases.py
+++ b/soak/databases.py
@@ -81,11 +81,11 @@
         """Make the replicas follow a primary; they drop what it does not hold."""
         for item in self.databases.values():
             item.followers = []
-        followers: list[SessionDatabase] = [
+        others: list[SessionDatabase] = [
             item for item in self.databases.values() if item is not primary
         ]
-        primary.followers = followers
-        for item in followers:
+        primary.followers = others
+        for item in self.databases.values():
             if item.is_up and not item.is_primary:
                 item.log = list(primary.log)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -198,7 +198,7 @@
 
 
 def test_superseded_primary_is_rolled_back_and_may_lead_again():
-    """Guards against a stand-in that loses or mixes commits, as in seeds 304 and 308."""
+    """Guards against a stand-in that loses or mixes commits (seeds 304 and 308)."""
 
     async def scenario():
         group = DatabaseGroup(SessionStore(lambda *_: True))
