--- a/soak/clients.py
+++ b/soak/clients.py
@@ -100,7 +100,7 @@
         """Open sessions until cancelled."""
         while True:
             instance = self._random.choice(self._instances)
-            # The sessions of all clients are told apart by their plan's items.
+            # Numbers repeat between clients, which is harmless: they share no items.
             served = await self.run_session(instance, next(self._sessions))
             if not served:
                 await asyncio.sleep(BACKOFF_SECONDS)
