Soak: number the sessions of the recovery too

All sessions after the last fault had the number 0, so that a read could be held to a write of another connection, which no route promises. It had raised no alarm.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -100,13 +100,11 @@
         """Open sessions until cancelled."""
         while True:
             instance = self._random.choice(self._instances)
-            # Numbers repeat between clients, which is harmless: they share no items.
-            served = await self.run_session(instance, next(self._sessions))
-            if not served:
+            if not await self.run_session(instance):
                 await asyncio.sleep(BACKOFF_SECONDS)
 
     async def run_session(
-        self, instance: InstanceProcess, session: int, n_operations: int = 0
+        self, instance: InstanceProcess, n_operations: int = 0
     ) -> bool:
         """Run operations in one session.
 
@@ -114,6 +112,8 @@
         :returns: whether all of them were served.
         """
         n_operations = n_operations or self._random.randint(1, SESSION_OPERATIONS)
+        # Numbers repeat between clients, which is harmless: they share no items.
+        session = next(self._sessions)
         try:
             async with asyncio.timeout(OPEN_SECONDS):
                 reader, writer = await asyncio.open_connection(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -248,9 +248,7 @@
     async def _visit_all(self, client: SessionClient) -> None:
         """Have a client served at each instance."""
         for instance in self._instances:
-            await _repeat_until(
-                partial(client.run_session, instance, 0, n_operations=3)
-            )
+            await _repeat_until(partial(client.run_session, instance, n_operations=3))
 
     def _judge(self) -> None:
         """Check what can be checked only at the end."""
