--- a/soak/clients.py
+++ b/soak/clients.py
@@ -71,6 +71,52 @@
         return bool(self.lines) and self.lines[-1].startswith("READY I")
 
 
+class _Session:
+    """Open connection of a client.
+
+    :param number: tells the sessions of one client apart.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.number = number
+        self._reader = reader
+        self._writer = writer
+
+    async def open(self, plan: ClientPlan) -> Answer:
+        """Send the opening message and wait for its answer."""
+        self._writer.write(f"START {plan.host} {plan.key}\r\n".encode())
+        return await self._receive()
+
+    async def ask(self, identifier: str, text: str) -> Answer:
+        """Send a statement and wait for its answer."""
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                self._writer.write(f"QUERY {identifier} {text}\r\n".encode())
+                return await self._receive()
+        except (OSError, TimeoutError):
+            return Answer(())
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+    async def _receive(self) -> Answer:
+        lines: list[str] = []
+        while data := await self._reader.readline():
+            lines.append(data.decode().rstrip("\r\n"))
+            if lines[-1].startswith("READY"):
+                return Answer(tuple(lines))
+        # An error that is followed by the end of the connection is an answer.
+        return Answer(tuple(lines) if lines and lines[-1].startswith("ERROR") else ())
+
+
 class SessionClient:
     """One client that opens sessions one after the other.
 
@@ -112,77 +158,61 @@
         :returns: whether all of them were served.
         """
         n_operations = n_operations or self._random.randint(1, SESSION_OPERATIONS)
-        # Numbers repeat between clients, which is harmless: they share no items.
-        session = next(self._sessions)
         try:
             async with asyncio.timeout(OPEN_SECONDS):
-                reader, writer = await asyncio.open_connection(
+                streams = await asyncio.open_connection(
                     instance.host, instance.front_port
                 )
-                writer.write(f"START {self._plan.host} {self._plan.key}\r\n".encode())
-                opening = await self._receive(reader)
         except (OSError, TimeoutError):
             return False
+        # Numbers repeat between clients, which is harmless: they share no items.
+        session = _Session(next(self._sessions), *streams)
         try:
+            async with asyncio.timeout(OPEN_SECONDS):
+                opening = await session.open(self._plan)
             if not opening.is_usable:
                 return False
             for _ in range(n_operations):
-                if not await self._operate(reader, writer, session):
+                if not await self._operate(session):
                     self.n_failed += 1
                     return False
                 await self._pause()
             return True
+        except (OSError, TimeoutError):
+            return False
         finally:
-            writer.close()
-            with contextlib.suppress(OSError):
-                await writer.wait_closed()
+            await session.close()
 
     async def _pause(self) -> None:
         await asyncio.sleep(self._random.random() * self._plan.pause_seconds)
 
-    async def _operate(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        session: int,
-    ) -> bool:
+    async def _operate(self, session: _Session) -> bool:
         """Run one operation; returns whether the session may go on."""
         item = f"{self._plan.workspace}-{self._plan.name}-{self._random.randint(1, 3)}"
         choice = self._random.random()
         if choice < 0.3:
-            served = await self._write(reader, writer, session, item)
+            served = await self._write(session, item)
         elif choice < 0.45:
-            served = await self._write_two(reader, writer, session)
+            served = await self._write_two(session)
         else:
-            served = await self._read(reader, writer, session, item)
+            served = await self._read(session, item)
         if served:
             self.admitted_at.append(self._clock())
         return served
 
-    async def _write(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        session: int,
-        item: str,
-    ) -> bool:
+    async def _write(self, session: _Session, item: str) -> bool:
         value = f"{item}.{next(self._numbers)}"
         sent_at = self._clock()
         # Stays so when the run ends this client before the answer.
         effect = Effect.UNKNOWN
         try:
-            answer = await self._ask(reader, writer, f"WRITE {item} {value}")
+            answer = await self._ask(session, f"WRITE {item} {value}")
             effect = _find_effect(answer)
         finally:
-            self._note(item, value, session, sent_at, effect)
+            self._note(item, value, session.number, sent_at, effect)
         return answer.is_done and answer.is_usable
 
-    async def _write_two(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        session: int,
-    ) -> bool:
+    async def _write_two(self, session: _Session) -> bool:
         """Write two items in one transaction, which may be rolled back."""
         items = [f"{self._plan.workspace}-{self._plan.name}-t{n}" for n in (1, 2)]
         values = [f"{item}.{next(self._numbers)}" for item in items]
@@ -190,36 +220,30 @@
         # Nothing of a transaction is kept without its commit.
         effect = Effect.NOT_RUN
         try:
-            answer = await self._ask(reader, writer, "BEGIN")
+            answer = await self._ask(session, "BEGIN")
             for item, value in zip(items, values, strict=True):
                 if answer.is_done:
-                    answer = await self._ask(reader, writer, f"WRITE {item} {value}")
+                    answer = await self._ask(session, f"WRITE {item} {value}")
                     await self._pause()
             if answer.is_done and self._random.random() < 0.2:
-                answer = await self._ask(reader, writer, "ROLLBACK")
+                answer = await self._ask(session, "ROLLBACK")
             elif answer.is_done:
                 effect = Effect.UNKNOWN
-                answer = await self._ask(reader, writer, "COMMIT")
+                answer = await self._ask(session, "COMMIT")
                 effect = _find_effect(answer)
         finally:
             for item, value in zip(items, values, strict=True):
-                self._note(item, value, session, sent_at, effect)
+                self._note(item, value, session.number, sent_at, effect)
         return answer.is_done and answer.is_usable
 
-    async def _read(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        session: int,
-        item: str,
-    ) -> bool:
+    async def _read(self, session: _Session, item: str) -> bool:
         sent_at = self._clock()
-        answer = await self._ask(reader, writer, f"READ {item}")
+        answer = await self._ask(session, f"READ {item}")
         if answer.is_done:
             read = Read(
                 item=item,
                 value=answer.row,
-                session=session,
+                session=session.number,
                 sent_at=sent_at,
                 freshness=self._plan.freshness,
                 bound_seconds=self._plan.bound_seconds,
@@ -241,25 +265,8 @@
             )
         )
 
-    async def _ask(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, text: str
-    ) -> Answer:
-        identifier = f"{self._random.getrandbits(64):016x}"
-        try:
-            async with asyncio.timeout(ANSWER_SECONDS):
-                writer.write(f"QUERY {identifier} {text}\r\n".encode())
-                return await self._receive(reader)
-        except (OSError, TimeoutError):
-            return Answer(())
-
-    async def _receive(self, reader: asyncio.StreamReader) -> Answer:
-        lines: list[str] = []
-        while data := await reader.readline():
-            lines.append(data.decode().rstrip("\r\n"))
-            if lines[-1].startswith("READY"):
-                return Answer(tuple(lines))
-        # An error that is followed by the end of the connection is an answer.
-        return Answer(tuple(lines) if lines and lines[-1].startswith("ERROR") else ())
+    async def _ask(self, session: _Session, text: str) -> Answer:
+        return await session.ask(f"{self._random.getrandbits(64):016x}", text)
 
 
 def _find_effect(answer: Answer) -> Effect:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -29,6 +29,10 @@
         plan=SoakPlan(seed=104, seconds=25.0),
         cause="SIGTERM or SIGHUP during the imports ended an instance with the signal",
     ),
+    Regression(
+        plan=SoakPlan(seed=131, seconds=25.0),
+        cause="the same as seed 104",
+    ),
     Regression(
         plan=SoakPlan(seed=107, seconds=25.0),
         cause="soak: a connection took a port of an instance that was down",
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -31,6 +31,12 @@
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20
 LARGE_RATE = 2000
+# Workspaces with rate and burst; the last one asks for more than that.
+WORKSPACES = {
+    "hives": (LARGE_RATE, LARGE_RATE),
+    "loans": (LARGE_RATE, LARGE_RATE),
+    "small": (SMALL_RATE, SMALL_BURST),
+}
 ROUTES = {
     "bookings": (Freshness.LATEST, 0.0),
     "status": (Freshness.BOUNDED, BOUND_SECONDS),
@@ -87,11 +93,7 @@
                 "requests_per_s": rate,
                 "burst": burst,
             }
-            for name, rate, burst in (
-                ("hives", LARGE_RATE, LARGE_RATE),
-                ("loans", LARGE_RATE, LARGE_RATE),
-                ("small", SMALL_RATE, SMALL_BURST),
-            )
+            for name, (rate, burst) in WORKSPACES.items()
         ],
     }
 
@@ -160,7 +162,7 @@
 
     def _make_client(self, number: int) -> SessionClient:
         host, (freshness, bound) = list(ROUTES.items())[number % len(ROUTES)]
-        workspace = ("hives", "loans", "small")[number // len(ROUTES) % 3]
+        workspace = list(WORKSPACES)[number // len(ROUTES) % len(WORKSPACES)]
         plan = ClientPlan(
             name=f"c{number}",
             workspace=workspace,
@@ -262,7 +264,7 @@
         for database in self._group.databases.values():
             for run in database.runs:
                 words = run.text.split()
-                items = [word for word in words if word.split("-")[0] in _WORKSPACES]
+                items = [word for word in words if word.split("-")[0] in WORKSPACES]
                 if any(item.split("-")[0] != run.workspace for item in items):
                     detail = f"{run.workspace} ran {run.text} at {database.name}"
                     self._violations.append(Violation("MIXED", detail))
@@ -282,6 +284,3 @@
         if await attempt():
             return
         await asyncio.sleep(CHECK_SECONDS)
-
-
-_WORKSPACES = ("hives", "loans", "small")
