Reserve tokens that accrue soon and divide the tolerance among lenders

Buckets held half of the burst, one token for a plan of 2 a second. Secondary lenders lent a fifth of the rate whatever the tolerance: a split into four parts admitted 375 of 350 operations.

Change: a grant carries reserved tokens, each valid from a later time, up to half of the route's latency objective. Lender limits are computed from the tolerance: the primary lender holds the whole burst where that fits, two secondary lenders share what is left.

--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -117,11 +117,16 @@
     """Request to a coordinator for tokens of a workspace's rate limit.
 
     :param number: repeated in the answer.
+    :param n_tokens: tokens wanted now, for waiting operations and in advance.
+    :param n_waiting: number of operations that wait; tokens may be reserved for them.
+    :param max_wait_seconds: longest useful wait for a reserved token.
     """
 
     number: int
     workspace: str
     n_tokens: int
+    n_waiting: int = 0
+    max_wait_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,10 +134,16 @@
     """Answer to a request for tokens.
 
     :param n_tokens: at most the number requested, possibly 0.
-    :param retry_after_seconds: time until the next token.
+    :param retry_after_seconds: time until the next token that is not reserved.
+    :param n_reserved: further tokens, each valid only from a later time on.
+    :param reserved_wait_seconds: time until the first reserved token is valid.
+    :param interval_seconds: time between two reserved tokens.
     """
 
     number: int
     workspace: str
     n_tokens: int
     retry_after_seconds: float = 0.0
+    n_reserved: int = 0
+    reserved_wait_seconds: float = 0.0
+    interval_seconds: float = 0.0
--- a/src/sardinemill/fleet/tokens.py
+++ b/src/sardinemill/fleet/tokens.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from ..control import PeerEnvelope
 from ..groups import rank_candidates
@@ -15,15 +16,78 @@
 from .messages import TokenGrant, TokenRequest
 from .views import RecordConfirmed
 
-# Part of the burst that a lender's bucket holds. The rest covers tokens that are lent
-# and not yet spent, and what instances without a lender admit on their own.
-BURST_FRACTION = 0.5
 # Part of the burst that a new bucket starts with. A lender does not know what its
-# predecessor lent just before; this way both together stay within the whole burst.
+# predecessor lent just before; this way both together stay within the tolerance.
 INITIAL_LEVEL_FRACTION = 0.25
-# Part of rate and burst that a secondary lender gets. Two lenders during a partition
-# must stay within the tolerance of the limit together.
-SECONDARY_LENDER_FRACTION = 0.2
+# The primary lender's bucket holds the whole burst if that takes no more than this part
+# of the allowance, and otherwise this part, but at least half of the burst.
+PRIMARY_ALLOWANCE_FRACTION = 0.25
+MIN_BURST_FRACTION = 0.5
+# Part of the remaining allowance that each of two secondary lenders gets. The rest
+# covers instances without a lender and tokens that were lent before a partition.
+SECONDARY_ALLOWANCE_FRACTION = 0.3
+# Part of a secondary lender's allowance that is its burst.
+SECONDARY_BURST_FRACTION = 0.2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateTolerance:
+    """How far the operations of a workspace may exceed its plan.
+
+    In each window at most ``(1 + fraction) * (rate * window + burst) + n_operations``
+    operations may run.
+
+    :param fraction: of the operations that the plan allows in a window.
+    :param n_operations: that are allowed besides.
+    """
+
+    window_seconds: float = 5.0
+    fraction: float = 0.1
+    n_operations: float = 20.0
+
+
+DEFAULT_TOLERANCE = RateTolerance()
+
+
+@dataclass(frozen=True, slots=True)
+class LenderLimits:
+    """Limits of a lender's token bucket for one workspace.
+
+    :param rate: tokens per second.
+    :param capacity: maximum number of tokens.
+    """
+
+    rate: float
+    capacity: float
+
+
+def compute_lender_limits(
+    plan: WorkspacePlan, tolerance: RateTolerance, *, is_primary: bool
+) -> LenderLimits:
+    """Divide the operations that a plan allows in a window among its lenders.
+
+    The primary lender lends at the plan's rate. The allowance, all that may run in a
+    window beyond that rate, is divided among its burst and the secondary lenders, so
+    that all lenders of a partitioned fleet together stay within the tolerance.
+    """
+    window, rate = tolerance.window_seconds, plan.operations_per_second
+    n_in_window = rate * window
+    allowance = (
+        (1 + tolerance.fraction) * (n_in_window + plan.burst)
+        + tolerance.n_operations
+        - n_in_window
+    )
+    capacity = min(
+        plan.burst,
+        max(MIN_BURST_FRACTION * plan.burst, PRIMARY_ALLOWANCE_FRACTION * allowance),
+    )
+    if is_primary:
+        return LenderLimits(rate, max(1.0, capacity))
+    n_secondary = SECONDARY_ALLOWANCE_FRACTION * (allowance - capacity)
+    n_burst = SECONDARY_BURST_FRACTION * n_secondary
+    return LenderLimits(
+        min(rate, (n_secondary - n_burst) / window), max(1.0, min(n_burst, plan.burst))
+    )
 
 
 class TokenBucket:
@@ -62,6 +126,19 @@
         self.level -= taken
         return taken
 
+    def reserve(self, n_tokens: int, max_wait_seconds: float) -> int:
+        """Remove up to ``n_tokens`` tokens that will accrue within a time.
+
+        The level becomes negative, so that later requests queue behind these. Call it
+        right after :meth:`take`.
+
+        :returns: the number removed.
+        """
+        accruing = math.floor(self.level + self.rate * max_wait_seconds)
+        reserved = max(0, min(n_tokens, accruing))
+        self.level -= reserved
+        return reserved
+
     def find_wait_seconds(self) -> float:
         """Return the seconds until the next token, 1 if the rate is 0."""
         if self.rate <= 0:
@@ -73,10 +150,14 @@
     """Answers requests for tokens. Outlets: ``peers``.
 
     :param instance: own name.
+    :param tolerance: of the rate limits.
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(
+        self, instance: str, tolerance: RateTolerance = DEFAULT_TOLERANCE
+    ) -> None:
         self._instance = instance
+        self._tolerance = tolerance
         self._route_table = EMPTY_ROUTE_TABLE
         self._coordinators: tuple[str, ...] = ()
         self._buckets: dict[str, TokenBucket] = {}
@@ -105,32 +186,45 @@
 
     def _make_grant(self, peer: str, request: TokenRequest, now: float) -> Emission:
         plan = self._route_table.plans.get(request.workspace)
-        n_tokens, wait = 0, 1.0
-        if plan is not None and self._instance in self._coordinators:
-            bucket = self._buckets.get(request.workspace)
-            if bucket is None:
-                rate, capacity = self._find_limits(plan)
-                level = min(capacity, plan.burst * INITIAL_LEVEL_FRACTION)
-                bucket = TokenBucket(rate, capacity, level, now)
-                self._buckets[request.workspace] = bucket
-            n_tokens = bucket.take(request.n_tokens, now)
-            wait = bucket.find_wait_seconds()
         grant = TokenGrant(
             number=request.number,
             workspace=request.workspace,
-            n_tokens=n_tokens,
-            retry_after_seconds=round(wait, 3),
+            n_tokens=0,
+            retry_after_seconds=1.0,
         )
+        if plan is not None and self._instance in self._coordinators:
+            bucket = self._find_bucket(plan, now)
+            n_tokens = bucket.take(request.n_tokens, now)
+            wait = bucket.find_wait_seconds()
+            n_reserved = bucket.reserve(
+                request.n_waiting - n_tokens, request.max_wait_seconds
+            )
+            grant = TokenGrant(
+                number=request.number,
+                workspace=request.workspace,
+                n_tokens=n_tokens,
+                retry_after_seconds=round(bucket.find_wait_seconds(), 3),
+                n_reserved=n_reserved,
+                reserved_wait_seconds=round(wait, 3) if n_reserved else 0.0,
+                interval_seconds=round(1 / bucket.rate, 4) if n_reserved > 1 else 0.0,
+            )
         return Emission("peers", PeerEnvelope(peer=peer, message=grant))
 
-    def _find_limits(self, plan: WorkspacePlan) -> tuple[float, float]:
-        """Return rate and capacity of a workspace's bucket at this lender."""
-        share = 1.0
+    def _find_bucket(self, plan: WorkspacePlan, now: float) -> TokenBucket:
+        """Return the bucket of a workspace; make it on its first request."""
+        bucket = self._buckets.get(plan.name)
+        if bucket is None:
+            limits = self._compute_limits(plan)
+            level = min(limits.capacity, plan.burst * INITIAL_LEVEL_FRACTION)
+            bucket = TokenBucket(limits.rate, limits.capacity, level, now)
+            self._buckets[plan.name] = bucket
+        return bucket
+
+    def _compute_limits(self, plan: WorkspacePlan) -> LenderLimits:
+        """Return the limits of a workspace's bucket at this lender."""
         ranked = rank_candidates(plan.name, self._coordinators)
-        if ranked and ranked[0] != self._instance:
-            share = SECONDARY_LENDER_FRACTION
-        capacity = max(1.0, plan.burst * BURST_FRACTION * share)
-        return plan.operations_per_second * share, capacity
+        is_primary = not ranked or ranked[0] == self._instance
+        return compute_lender_limits(plan, self._tolerance, is_primary=is_primary)
 
     def _update_buckets(self, now: float) -> None:
         for name, bucket in list(self._buckets.items()):
@@ -138,5 +232,5 @@
             if plan is None:
                 del self._buckets[name]
                 continue
-            rate, capacity = self._find_limits(plan)
-            bucket.set_limits(rate, capacity, now)
+            limits = self._compute_limits(plan)
+            bucket.set_limits(limits.rate, limits.capacity, now)
--- a/src/sardinemill/platform/store_documents.py
+++ b/src/sardinemill/platform/store_documents.py
@@ -64,6 +64,7 @@
         staleness_seconds=_expect_number(item.get("max_staleness_ms", 0)) / 1000,
         priority=int(_expect_number(item.get("priority", 1))),
         is_open=item.get("allow_anonymous") is True,
+        target_seconds=_expect_number(item.get("target_latency_ms", 0)) / 1000,
     )
 
 
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -1,13 +1,16 @@
 """Filter that admits operations within the rate limit of their workspace.
 
 An operation is a transaction or a statement outside one. Instances request tokens in
-batches from a coordinator that lends them, the lender. When no lender answers, an
-instance admits operations at a low fallback rate of its own.
+batches from a coordinator that lends them, the lender. A lender without tokens reserves
+those that accrue soon, in the order of the requests, so that an operation waits for its
+turn instead of being refused and retried. When no lender answers, an instance admits
+operations at a low fallback rate of its own.
 """
 
 import math
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from ..control import PeerEnvelope
 from ..fleet.messages import TokenGrant, TokenRequest
@@ -33,6 +36,9 @@
 # before, or of an equal share of the limit if that is more, so that all instances
 # together stay within the tolerance of the limit.
 FALLBACK_FRACTION = 0.25
+# An operation waits for a reserved token for at most this part of its route's latency
+# objective. The rest is left for the database.
+MAX_WAIT_FRACTION = 0.5
 NEVER = float("-inf")
 
 
@@ -67,10 +73,11 @@
     :ivar granted_rate: rate of those that a lender's tokens admitted; over all
         instances it adds up to no more than the limit.
     :ivar fallback_level: tokens for admission without a lender.
-    :ivar queue: operations that wait for tokens.
-    :ivar pending_request: number and send time of the token request without an answer.
-    :ivar refused_until: when the lender expects the next token; operations without a
-        token are refused until then.
+    :ivar queue: operations that wait for tokens; the first ones for ``reservations``.
+    :ivar reservations: times from which reserved tokens are valid, in order.
+    :ivar pending_request: token request without an answer.
+    :ivar next_token_at: when the next token that is not reserved accrues at the
+        lender; operations that cannot wait until then are refused.
     """
 
     def __init__(self) -> None:
@@ -81,8 +88,39 @@
         self.fallback_level: float = 1.0
         self.fallback_updated_at: float = NEVER
         self.queue: deque[StatementRequest] = deque()
-        self.pending_request: tuple[int, float] | None = None
-        self.refused_until: float = NEVER
+        self.reservations: deque[float] = deque()
+        self.pending_request: _PendingTokenRequest | None = None
+        self.next_token_at: float = NEVER
+
+    @property
+    def n_waiting(self) -> int:
+        """Number of queued operations without a reserved token."""
+        return max(0, len(self.queue) - len(self.reservations))
+
+    def discard_expired_tokens(self, now: float) -> None:
+        """Discard unspent tokens whose lifetime has ended."""
+        if self.expires_at <= now:
+            self.level = 0.0
+
+    def add_tokens(self, n_tokens: float, now: float) -> None:
+        """Add tokens; all unspent ones then expire together."""
+        self.discard_expired_tokens(now)
+        self.level += n_tokens
+        self.expires_at = now + TOKEN_LIFETIME_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class _PendingTokenRequest:
+    """Token request without an answer.
+
+    :param n_waiting: operations that it asks tokens for.
+    :param max_wait_seconds: longest useful wait of these.
+    """
+
+    number: int
+    sent_at: float
+    n_waiting: int
+    max_wait_seconds: float
 
 
 class Admission:
@@ -123,17 +161,37 @@
         self._next_tick = None
         emissions: list[Emission] = []
         for workspace, limiter in self._limiters.items():
-            pending_request = limiter.pending_request
-            if (
-                pending_request is not None
-                and now - pending_request[1] >= GRANT_TIMEOUT_SECONDS
-            ):
+            emissions += self._admit_reserved(limiter, now)
+            pending = limiter.pending_request
+            if pending is None:
+                continue
+            expires_at = pending.sent_at + GRANT_TIMEOUT_SECONDS
+            if now >= expires_at:
                 limiter.pending_request = None
                 emissions += self._admit_without_lender(workspace, limiter, now)
-            elif pending_request is not None:
-                self._schedule_tick(pending_request[1] + GRANT_TIMEOUT_SECONDS)
+            else:
+                self._schedule_tick(expires_at)
         return emissions
 
+    def _admit_reserved(self, limiter: _WorkspaceLimiter, now: float) -> list[Emission]:
+        """Spend the reserved tokens that are valid by now."""
+        emissions: list[Emission] = []
+        while limiter.reservations and limiter.reservations[0] <= now:
+            limiter.reservations.popleft()
+            if limiter.queue:
+                emissions.append(self._admit(limiter, limiter.queue.popleft(), now))
+            else:
+                limiter.add_tokens(1.0, now)
+        if limiter.reservations:
+            self._schedule_tick(limiter.reservations[0])
+        return emissions
+
+    def _admit(
+        self, limiter: _WorkspaceLimiter, request: StatementRequest, now: float
+    ) -> Emission:
+        limiter.granted_rate.add(now)
+        return Emission("next", request)
+
     def _schedule_tick(self, tick_at: float) -> None:
         if self._next_tick is None or tick_at < self._next_tick:
             self._next_tick = tick_at
@@ -144,17 +202,15 @@
             return [Emission("next", request)]
         limiter = self._limiters.setdefault(plan.name, _WorkspaceLimiter())
         limiter.demand_rate.add(now)
-        if limiter.expires_at <= now:
-            limiter.level = 0.0
+        limiter.discard_expired_tokens(now)
         if limiter.level >= 1.0 and not limiter.queue:
             limiter.level -= 1.0
-            limiter.granted_rate.add(now)
-            emissions = [Emission("next", request)]
+            emissions = [self._admit(limiter, request, now)]
             if limiter.level < self._compute_prefetch(limiter, now) / 2:
                 emissions += self._request_tokens(plan.name, limiter, now)
             return emissions
-        if now < limiter.refused_until:
-            return [self._refuse(request, "plan used up", limiter.refused_until - now)]
+        if now + _compute_max_wait(request, now) < limiter.next_token_at:
+            return [self._refuse(request, "plan used up", limiter.next_token_at - now)]
         if len(limiter.queue) >= MAX_QUEUED_OPERATIONS:
             return [
                 self._refuse(request, "too many wait for tokens", GRANT_TIMEOUT_SECONDS)
@@ -168,10 +224,7 @@
         has_run = result.code is None or result.effect is not Effect.NOT_RUN
         if limiter is None or has_run or not result.request.starts_operation:
             return
-        if limiter.expires_at <= now:
-            limiter.level = 0.0
-        limiter.level += 1.0
-        limiter.expires_at = now + TOKEN_LIFETIME_SECONDS
+        limiter.add_tokens(1.0, now)
 
     def _compute_prefetch(self, limiter: _WorkspaceLimiter, now: float) -> int:
         wanted = math.floor(limiter.demand_rate.estimate(now) * PREFETCH_SECONDS)
@@ -185,43 +238,63 @@
         lenders = rank_candidates(workspace, self._coordinators)
         if not lenders:
             return self._admit_without_lender(workspace, limiter, now)
-        n_tokens = len(limiter.queue) + self._compute_prefetch(limiter, now)
+        n_waiting = limiter.n_waiting
+        n_tokens = n_waiting + self._compute_prefetch(limiter, now)
         if n_tokens <= 0:
             return []
+        waiting = list(limiter.queue)[len(limiter.reservations) :]
+        max_wait = max((_compute_max_wait(item, now) for item in waiting), default=0.0)
         self._n_requests += 1
-        limiter.pending_request = (self._n_requests, now)
+        limiter.pending_request = _PendingTokenRequest(
+            self._n_requests, now, n_waiting, max_wait
+        )
         self._schedule_tick(now + GRANT_TIMEOUT_SECONDS)
         request = TokenRequest(
-            number=self._n_requests, workspace=workspace, n_tokens=n_tokens
+            number=self._n_requests,
+            workspace=workspace,
+            n_tokens=n_tokens,
+            n_waiting=n_waiting,
+            max_wait_seconds=round(max_wait, 3),
         )
         return [Emission("peers", PeerEnvelope(peer=lenders[0], message=request))]
 
     def _handle_grant(self, grant: TokenGrant, now: float) -> list[Emission]:
         limiter = self._limiters.get(grant.workspace)
-        if limiter is None or limiter.pending_request is None:
-            return []
-        if limiter.pending_request[0] != grant.number:
+        pending = None if limiter is None else limiter.pending_request
+        if limiter is None or pending is None or pending.number != grant.number:
             return []
         limiter.pending_request = None
-        if limiter.expires_at <= now:
-            limiter.level = 0.0
-        limiter.level += grant.n_tokens
-        limiter.expires_at = now + TOKEN_LIFETIME_SECONDS
+        limiter.add_tokens(grant.n_tokens, now)
+        first_at = now + grant.reserved_wait_seconds
+        limiter.reservations.extend(
+            first_at + number * grant.interval_seconds
+            for number in range(grant.n_reserved)
+        )
         emissions: list[Emission] = []
         while limiter.queue and limiter.level >= 1.0:
             limiter.level -= 1.0
-            limiter.granted_rate.add(now)
-            emissions.append(Emission("next", limiter.queue.popleft()))
-        if grant.n_tokens == 0:
+            emissions.append(self._admit(limiter, limiter.queue.popleft(), now))
+        n_refused = pending.n_waiting - grant.n_tokens - grant.n_reserved
+        if n_refused > 0:
             delay = grant.retry_after_seconds
-            limiter.refused_until = now + delay
-            while limiter.queue:
-                refused = limiter.queue.popleft()
-                emissions.append(self._refuse(refused, "plan used up", delay))
-        elif limiter.queue:
+            limiter.next_token_at = now + delay
+            emissions += self._refuse_waiting(limiter, n_refused, delay)
+        if limiter.reservations:
+            self._schedule_tick(limiter.reservations[0])
+        if limiter.n_waiting:
             emissions += self._request_tokens(grant.workspace, limiter, now)
         return emissions
 
+    def _refuse_waiting(
+        self, limiter: _WorkspaceLimiter, n_refused: int, delay: float
+    ) -> list[Emission]:
+        """Refuse the first queued operations that have no reserved token."""
+        first = len(limiter.reservations)
+        waiting = list(limiter.queue)
+        refused = waiting[first : first + n_refused]
+        limiter.queue = deque(waiting[:first] + waiting[first + n_refused :])
+        return [self._refuse(item, "plan used up", delay) for item in refused]
+
     def _admit_without_lender(
         self, workspace: str, limiter: _WorkspaceLimiter, now: float
     ) -> list[Emission]:
@@ -235,15 +308,12 @@
             )
         limiter.fallback_updated_at = now
         emissions: list[Emission] = []
-        while limiter.queue:
-            request = limiter.queue.popleft()
-            if limiter.fallback_level >= 1.0:
-                limiter.fallback_level -= 1.0
-                emissions.append(Emission("next", request))
-            else:
-                emissions.append(
-                    self._refuse(request, "no lender", GRANT_TIMEOUT_SECONDS)
-                )
+        while limiter.n_waiting and limiter.fallback_level >= 1.0:
+            limiter.fallback_level -= 1.0
+            emissions.append(Emission("next", limiter.queue.popleft()))
+        while limiter.n_waiting:
+            refused = limiter.queue.pop()
+            emissions.append(self._refuse(refused, "no lender", GRANT_TIMEOUT_SECONDS))
         return emissions
 
     def _compute_fallback_rate(
@@ -263,3 +333,9 @@
             message=f"rate limit, {reason}; retry after {max(delay, 0.01):.2f} s",
         )
         return Emission("result", result)
+
+
+def _compute_max_wait(request: StatementRequest, now: float) -> float:
+    """Return how long an operation may still wait for a token, in seconds."""
+    max_wait = MAX_WAIT_FRACTION * request.route.target_seconds
+    return max(0.0, max_wait - (now - request.received_at))
--- a/src/sardinemill/sessions/routes.py
+++ b/src/sardinemill/sessions/routes.py
@@ -22,6 +22,7 @@
     :param timeout_seconds: time-out of one statement.
     :param priority: order in the queues of databases; 0 is served first.
     :param is_open: anonymous clients may use the route, without a key.
+    :param target_seconds: latency objective of one operation, 0 if there is none.
     """
 
     name: str
@@ -32,6 +33,7 @@
     staleness_seconds: float = 0.0
     priority: int = 1
     is_open: bool = False
+    target_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_fleet_tokens.py
+++ b/tests/test_fleet_tokens.py
@@ -4,7 +4,11 @@
 
 from sardinemill.control import PeerEnvelope
 from sardinemill.fleet.messages import TokenGrant, TokenRequest
-from sardinemill.fleet.tokens import TokenLender
+from sardinemill.fleet.tokens import (
+    RateTolerance,
+    TokenLender,
+    compute_lender_limits,
+)
 from sardinemill.fleet.views import ReachableCoordinatorsChanged
 from sardinemill.groups import rank_candidates
 from sardinemill.sessions.admission import GRANT_TIMEOUT_SECONDS, Admission
@@ -13,10 +17,12 @@
     StatementRequest,
     StatementResult,
 )
+from sardinemill.sessions.routes import WorkspacePlan
 from session_builders import (
     BOOKINGS_ROUTE,
     WRITE,
     make_confirmed,
+    make_route,
     make_routes_changed,
     make_statement_request,
     select,
@@ -48,13 +54,14 @@
             )
         self.admitted = []
         self.n_refused = 0
+        self.route = BOOKINGS_ROUTE
         self._number = 0
 
     def request(self, index):
         """Send one operation to an instance."""
         self._number += 1
         request = make_statement_request(
-            self._number, WRITE, BOOKINGS_ROUTE, received_at=self.now
+            self._number, WRITE, self.route, received_at=self.now
         )
         self._process(index, self.instances[index].handle(request, self.now))
 
@@ -216,3 +223,89 @@
         result = StatementResult(request=request, code=ErrorCode.BUSY)
         instance.handle(result, fleet.now)
     assert len(fleet.admitted) - n_before == 200
+
+
+TARGET_ROUTE = make_route("lookup", target_seconds=0.25)
+
+
+def make_single_instance(rate, burst):
+    """Return a fleet of one instance whose lender's bucket is empty."""
+    fleet = Fleet(n_instances=1, rate=rate, burst=burst)
+    fleet.run(2, 20 * rate)
+    fleet.now += 0.001
+    return fleet
+
+
+def test_operation_waits_for_a_token_that_accrues_soon():
+    """Guards against a refusal and a retry where the next token comes within the
+    latency objective of the route.
+    """
+    fleet = make_single_instance(rate=20.0, burst=20.0)
+    (instance,) = fleet.instances
+    n_before, n_refused = len(fleet.admitted), fleet.n_refused
+    request = make_statement_request(7001, WRITE, TARGET_ROUTE, received_at=fleet.now)
+    fleet._process(0, instance.handle(request, fleet.now))
+    assert len(fleet.admitted) == n_before
+    assert fleet.n_refused == n_refused
+    assert fleet.now < instance.next_tick <= fleet.now + 1 / fleet.rate
+    fleet.now = instance.next_tick
+    fleet._process(0, instance.tick(fleet.now))
+    assert len(fleet.admitted) == n_before + 1
+
+
+def test_operation_without_an_objective_is_refused_at_once():
+    """Guards against operations that wait although nobody said how long is useful."""
+    fleet = make_single_instance(rate=20.0, burst=20.0)
+    n_refused = fleet.n_refused
+    fleet.request(0)
+    assert fleet.n_refused == n_refused + 1
+
+
+def test_waiting_operations_are_bounded_by_the_latency_objective():
+    """Guards against a hot workspace whose queue makes every operation late: what
+    cannot get a token within half of the objective is refused at once.
+    """
+    fleet = make_single_instance(rate=20.0, burst=20.0)
+    (instance,) = fleet.instances
+    for number in range(50):
+        request = make_statement_request(
+            8000 + number, WRITE, TARGET_ROUTE, received_at=fleet.now
+        )
+        fleet._process(0, instance.handle(request, fleet.now))
+    n_refused = fleet.n_refused
+    fleet.now += 0.126
+    n_before = len(fleet.admitted)
+    fleet._process(0, instance.tick(fleet.now))
+    assert len(fleet.admitted) - n_before in (2, 3)
+    assert fleet.n_refused == n_refused
+
+
+@pytest.mark.parametrize("weights", [None, [20, 1, 1, 1, 1, 1]])
+def test_reserved_tokens_keep_the_limit(weights):
+    """Guards against reservations that add to the plan's rate under overload."""
+    fleet = Fleet()
+    fleet.route = TARGET_ROUTE
+    fleet.run(12, 375, weights)
+    assert fleet.find_busiest_window() <= fleet.limit
+    assert len(fleet.admitted) >= 0.95 * fleet.rate * 12
+
+
+@pytest.mark.parametrize("rate", [1.0, 5.0, 20.0, 80.0, 500.0])
+@pytest.mark.parametrize("burst_seconds", [0.2, 1.0, 4.0])
+def test_limits_of_all_lenders_together_stay_within_the_tolerance(rate, burst_seconds):
+    """Guards against a division among lenders that fits one size of plan only."""
+    plan = WorkspacePlan(
+        name="hives", operations_per_second=rate, burst=rate * burst_seconds
+    )
+    tolerance = RateTolerance()
+    primary = compute_lender_limits(plan, tolerance, is_primary=True)
+    secondary = compute_lender_limits(plan, tolerance, is_primary=False)
+    n_admitted = sum(
+        limits.rate * WINDOW_SECONDS + limits.capacity
+        for limits in (primary, secondary, secondary)
+    )
+    allowed = (rate * WINDOW_SECONDS + plan.burst) * (
+        1 + TOLERANCE_FRACTION
+    ) + TOLERANCE_OPERATIONS
+    assert n_admitted <= allowed
+    assert primary.capacity <= max(1.0, plan.burst)
