--- a/src/sardinemill/adapters/metrics_file.py
+++ b/src/sardinemill/adapters/metrics_file.py
@@ -9,8 +9,9 @@
     PeriodicExportingMetricReader,
 )
 
+from ..opentelemetry_metrics import OpenTelemetryMetrics
 from ..settings import Settings
-from ..telemetry import Metric, NoTelemetry, OpenTelemetryMetrics, Telemetry
+from ..telemetry import Metric, NoTelemetry, Telemetry
 
 
 class MetricsFile:
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -19,7 +19,7 @@
 from ..session_composition import SessionInstance, SessionInstanceAdapters
 from ..session_measurements import SessionMeasurements
 from .clients import ClientListener
-from .metrics import format_metrics, make_metrics
+from .metrics import make_metrics
 from .probe_server import ProbeServer
 from .promotion_client import PromotionClient
 from .settings import PlatformSettings, read_platform_settings
@@ -52,7 +52,7 @@
         settings.ready_address,
         settings.metrics_address,
         lambda: instance.readiness.is_ready,
-        format_metrics,
+        metrics.format,
     )
     instance = SessionInstance(
         identity,
@@ -75,7 +75,7 @@
                 settings.promotion_address, sink, clock
             ),
             observer=SessionMeasurements(metrics, clock),
-            components=(store, probes),
+            components=(store, probes, metrics),
         ),
         stop_seconds=settings.stop_seconds,
     )
--- a/src/sardinemill/platform/probe_server.py
+++ b/src/sardinemill/platform/probe_server.py
@@ -1,10 +1,9 @@
 """HTTP server for the platform's readiness probe and for metrics."""
 
-from collections.abc import Callable
-
-from aiohttp import web
+from collections.abc import Awaitable, Callable
 
 from ..groups import Address
+from .http import HttpAnswer, HttpServer
 
 READINESS_PATH = "/sardinemill/readiness"
 METRICS_PATH = "/metrics"
@@ -22,36 +21,40 @@
         ready_address: Address,
         metrics_address: Address,
         is_ready: Callable[[], bool],
-        format_metrics: Callable[[], str],
+        format_metrics: Callable[[], Awaitable[str]],
     ) -> None:
-        self._addresses = (ready_address, metrics_address)
         self._is_ready = is_ready
         self._format_metrics = format_metrics
-        self._runners: list[web.ServerRunner] = []
+        self._servers = (
+            HttpServer(ready_address, self._answer_readiness),
+            HttpServer(metrics_address, self._answer_metrics),
+        )
+
+    @property
+    def ports(self) -> tuple[int, int]:
+        """Ports of readiness and metrics, after the start."""
+        readiness, metrics = self._servers
+        return readiness.port, metrics.port
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        handlers = (self._serve_readiness, self._serve_metrics)
-        for address, handler in zip(self._addresses, handlers, strict=True):
-            runner = web.ServerRunner(web.Server(handler))
-            await runner.setup()
-            await web.TCPSite(runner, address.host, address.port).start()
-            self._runners.append(runner)
+        for server in self._servers:
+            await server.start()
 
     async def drain(self) -> None:
         """Do nothing: the readiness answer already says that the instance drains."""
 
     async def stop(self) -> None:
         """Close the listeners."""
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
-        if request.path != READINESS_PATH:
-            return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
-
-    async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
-        if request.path != METRICS_PATH:
-            return web.Response(status=404)
-        return web.Response(text=self._format_metrics())
+        for server in self._servers:
+            await server.stop()
+
+    async def _answer_readiness(self, path: str) -> HttpAnswer:
+        if path != READINESS_PATH:
+            return HttpAnswer(404)
+        return HttpAnswer(200 if self._is_ready() else 503)
+
+    async def _answer_metrics(self, path: str) -> HttpAnswer:
+        if path != METRICS_PATH:
+            return HttpAnswer(404)
+        return HttpAnswer(200, (await self._format_metrics()).encode())
--- a/src/sardinemill/platform/promotion_client.py
+++ b/src/sardinemill/platform/promotion_client.py
@@ -1,12 +1,12 @@
 """Client of the platform's interface to promote databases."""
 
-import aiohttp
-
 from ..fleet.failover_messages import PromoteDatabase, PromotionResult
 from ..groups import Address
 from ..interfaces import Clock, Outlet
 from .background_tasks import BackgroundTasks
+from .http import HttpClient, HttpError
 
+PROMOTION_PATH = "/promotion"
 CALL_TIMEOUT_SECONDS = 1.2
 
 
@@ -17,13 +17,13 @@
     """
 
     def __init__(self, address: Address, sink: Outlet, clock: Clock) -> None:
-        self._url = f"http://{address}/promotion"
+        self._client = HttpClient(address, CALL_TIMEOUT_SECONDS)
         self._sink = sink
         self._clock = clock
         self._calls = BackgroundTasks()
 
     async def start(self) -> None:
-        """Do nothing: calls are rare, and each opens an HTTP session of its own."""
+        """Do nothing: connections are opened on demand."""
 
     async def drain(self) -> None:
         """Do nothing."""
@@ -31,6 +31,7 @@
     async def stop(self) -> None:
         """Cancel the calls in progress."""
         await self._calls.stop()
+        self._client.close()
 
     def offer(self, message: object) -> bool:
         """Start the call for a :class:`PromoteDatabase`; ignore other messages."""
@@ -51,16 +52,18 @@
             "X-Fencing-Token": str(command.fence),
         }
         body = {"service": command.group, "id": command.database}
-        timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         try:
-            async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
-                session.post(self._url, json=body, headers=headers) as response,
-            ):
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            result = PromotionResult(command, None, type(error).__name__)
+            answer = await self._client.request(
+                "POST",
+                PROMOTION_PATH,
+                body=body,
+                headers=headers,
+                timeout_seconds=timeout_seconds,
+            )
+        except HttpError as error:
+            result = PromotionResult(command, None, error.message)
         else:
+            status = answer.status
             is_accepted = True if status == 200 else None
             # The platform declined, for instance because the database does not run. Any
             # other error status leaves the outcome unknown.
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -3,10 +3,16 @@
 import dataclasses
 import importlib
 import inspect
+import os
 import pkgutil
+import subprocess
+import sys
+from pathlib import Path
 
 import sardinemill
 
+SOURCE = Path(sardinemill.__file__).parent
+
 
 def list_classes():
     """Import all modules of the package and yield their classes."""
@@ -27,3 +33,22 @@
         if dataclasses.is_dataclass(kind) and not kind.__dataclass_params__.frozen
     ]
     assert unfrozen == []
+
+
+def test_start_of_an_instance_loads_no_heavy_library():
+    """Guards against a library that delays the start: on a fraction of a core, imports
+    decide how long a machine that returns serves nobody.
+    """
+    heavy = ("aiohttp", "opentelemetry", "prometheus_client", "sqlglot", "defopt")
+    code = (
+        "import sys, sardinemill.platform.daemon;"
+        f"print([name for name in {heavy!r} if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONPATH": str(SOURCE.parent)},
+    )
+    assert found.stdout.strip() == "[]"
