Confirm leases through one coordinator; learn from neighbours before the store

Change: a coordinator passes on how old its own proof is that no later record existed, so one answer renews the leases. An instance asks the coordinator of its data centre in each round and the others in every second one, and all while one is silent, evidence is old or a database failed. A start reads the record with the cheap stale read, which renews no lease, asks the coordinators for the rest and reads it after 0.6 s without an answer. Weighed: relays in each data centre (a second hop and a second thing to lose).

--- a/src/sardinemill/fleet/coordinator_membership.py
+++ b/src/sardinemill/fleet/coordinator_membership.py
@@ -12,8 +12,9 @@
 from .views import Identity
 
 N_COORDINATORS = 3
-# A coordinator that has not answered for this time counts as unreachable.
-UNREACHABLE_AFTER_SECONDS = 1.2
+# A coordinator that has not answered for this time, two questions, counts as
+# unreachable.
+UNREACHABLE_AFTER_SECONDS = 1.6
 # A coordinator that has not answered for this time is replaced.
 REPLACE_AFTER_SECONDS = 2.0
 # Applies when no coordinator answers: the instance is then more likely to be
--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -6,6 +6,9 @@
 from ..sessions.routes import Configuration
 from .records import Directory, FleetRecord
 
+# Age that messages give for data that was never read.
+MAX_AGE_SECONDS = 1e9
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PositionReport:
@@ -96,6 +99,8 @@
     :param directory_age_seconds: time since the directory was last known to be current.
     :param n_instances: number of instances: the sender and those that sent it questions
         recently.
+    :param confirmed_age_seconds: time since the sender last had proof that no later
+        record existed, from the store or from all coordinators.
     """
 
     number: int
@@ -110,6 +115,7 @@
     configuration_age_seconds: float = 0.0
     positions: tuple[PositionReport, ...] = ()
     n_instances: int = 1
+    confirmed_age_seconds: float = MAX_AGE_SECONDS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -16,6 +16,7 @@
 from ..members import InstanceInfo, MembershipChanged
 from ..sessions.messages import DrainStarted
 from .configuration_cache import ConfigurationCache
+from .contact_log import ContactLog
 from .coordinator_membership import CoordinatorMembership
 from .known_positions import KnownPositions
 from .messages import (
@@ -30,6 +31,7 @@
     CoordinatorConfirmation,
     find_unanimous_confirmation_time,
 )
+from .question_schedule import MAX_EVIDENCE_AGE_SECONDS, QuestionSchedule
 from .questions import IncomingQuestions, OutgoingQuestions, make_instance_info
 from .record_writer import RecordWriter
 from .records import FleetRecord
@@ -57,10 +59,8 @@
 )
 
 TICK_SECONDS = 0.1
-# Three questions fit into the duration of a primary lease.
-QUESTION_INTERVAL_SECONDS = 0.4
-# An instance that has read everything but reached no coordinator becomes ready after
-# this time.
+# An instance that has read everything but reached no coordinator becomes ready this
+# time after it learned which instances are coordinators.
 READY_WITHOUT_COORDINATOR_SECONDS = 2.0
 # A coordinator that drains finishes its failovers first, for at most this time. That
 # leaves time to update the list before the process is killed, 6 s after the request.
@@ -94,13 +94,13 @@
         self._confirmations: dict[str, CoordinatorConfirmation] = {}
         self._outgoing = OutgoingQuestions()
         self._incoming = IncomingQuestions()
-        self._next_question_at = NEVER
+        self._schedule = QuestionSchedule(identity)
         self._leave_deadline: float | None = None
         self._n_failovers = 0
         self._linked_peers: tuple[InstanceInfo, ...] = ()
-        self._contacts: dict[str, DatabaseContact] = {}
+        self._contacts = ContactLog()
         self._is_synced = False
-        self._complete_at: float | None = None
+        self._discovered_at: float | None = None
         self._is_store_unavailable = False
         self._n_reported_instances = 1
         self._n_active_instances = 1
@@ -138,7 +138,7 @@
         if isinstance(message, RecordRead):
             self._read_scheduler.record_success("record")
             emissions += self._adopt_record(message.record, message.revision, now)
-            if message.revision == self._revision:
+            if message.revision == self._revision and not message.may_be_stale:
                 emissions += self._confirm_by_store(message.asked_at)
             self._writer.discard_superseded(self._revision)
             emissions += self._start_write(now)
@@ -166,8 +166,7 @@
             self._membership.record_pause()
         self._next_tick = now + TICK_SECONDS
         emissions: list[Emission] = []
-        if self._has_record and now >= self._next_question_at:
-            self._next_question_at = now + QUESTION_INTERVAL_SECONDS
+        if self._has_record and self._schedule.is_due(now):
             emissions += self._ask_coordinators(now)
         emissions += self._read_store(now)
         if self._membership.is_coordinator(self._record):
@@ -188,7 +187,9 @@
         rank = self._membership.find_rank(self._record)
         return [
             Emission("store", request)
-            for request in self._read_scheduler.list_due(rank, now)
+            for request in self._read_scheduler.list_due(
+                rank, now, has_coordinators=bool(self._record.coordinators)
+            )
         ]
 
     def _record_store_available(self) -> list[Emission]:
@@ -257,16 +258,17 @@
         if at <= self._confirmed_at:
             return []
         self._confirmed_at = at
+        self._read_scheduler.evidence_at = at
         confirmed = RecordConfirmed(self._record, self._revision, at)
         return [Emission("record", confirmed)]
 
     def _emit_initial_sync(self, now: float) -> list[Emission]:
-        if self._is_synced or not (
-            self._cache.is_complete and self._record.coordinators
-        ):
+        if self._is_synced or not self._record.coordinators:
+            return []
+        if self._discovered_at is None:
+            self._discovered_at = now
+        if not self._cache.is_complete:
             return []
-        if self._complete_at is None:
-            self._complete_at = now
         # Without a coordinator there are no rate-limit tokens to admit operations with.
         # A partition can last long, so part of the load is served even without them.
         has_no_coordinator = (
@@ -275,7 +277,7 @@
         )
         if (
             has_no_coordinator
-            and now - self._complete_at < READY_WITHOUT_COORDINATOR_SECONDS
+            and now - self._discovered_at < READY_WITHOUT_COORDINATOR_SECONDS
         ):
             return []
         self._is_synced = True
@@ -301,9 +303,7 @@
     # Positions and contacts
 
     def _handle_contact(self, contact: DatabaseContact) -> list[Emission]:
-        known = self._contacts.get(contact.database)
-        if known is None or contact.at >= known.at:
-            self._contacts[contact.database] = contact
+        self._contacts.record(contact)
         return [Emission("contacts", contact)]
 
     def _emit_positions(
@@ -316,52 +316,42 @@
 
     def _ask_coordinators(self, now: float) -> list[Emission]:
         self._outgoing.discard_expired(now)
-        contacts = self._list_contacts(now)
-        others = [
-            item.name
-            for item in self._record.coordinators
-            if item.name != self._identity.name
-        ]
+        has_old_evidence = now - self._confirmed_at > MAX_EVIDENCE_AGE_SECONDS
+        receivers = self._schedule.start_round(
+            self._record,
+            self._membership.list_reachable(self._record, now),
+            self._outgoing.is_last_answered,
+            is_coordinator=self._membership.is_coordinator(self._record),
+            is_urgent=has_old_evidence or self._contacts.has_failure,
+            now=now,
+        )
+        if len(receivers) > 1:
+            self._contacts.clear_failure()
         return [
             self._make_question(
-                name, now, contacts=contacts, with_positions=with_positions
+                receiver.name,
+                now,
+                contacts=self._list_contacts(receiver.name, now),
+                with_positions=receiver.with_positions,
             )
-            for name, with_positions in self._choose_receivers(others, now)
+            for receiver in receivers
         ]
 
-    def _choose_receivers(
-        self, others: Sequence[str], now: float
-    ) -> list[tuple[str, bool]]:
-        """Return all receivers and whether positions are exchanged with each.
-
-        One coordinator is enough for other instances, and using the same one gives the
-        most recent positions. Coordinators exchange positions with each other. While
-        the first one does not answer, positions go to all.
-        """
-        reachable = self._membership.list_reachable(self._record, now)
-        if self._membership.is_coordinator(self._record) or not reachable:
-            return [(name, True) for name in others]
-        if not self._outgoing.is_last_answered(reachable[0]):
-            return [(name, True) for name in others]
-        return [(name, name == reachable[0]) for name in others]
-
-    def _list_contacts(self, now: float) -> tuple[ContactReport, ...]:
-        """Return contacts with primaries since the last questions.
+    def _list_contacts(self, peer: str, now: float) -> tuple[ContactReport, ...]:
+        """Return contacts with primaries since the last question to a coordinator.
 
         Contacts with replicas are omitted, since only primaries are monitored.
         """
         primaries = {item.primary for item in self._record.groups}
-        contacts = tuple(
+        return tuple(
             ContactReport(
                 database=item.database,
                 is_alive=item.is_alive,
                 age_seconds=round(now - item.at, 3),
             )
-            for item in self._contacts.values()
+            for item in self._contacts.list_unreported(peer)
             if item.database in primaries
         )
-        self._contacts.clear()
-        return contacts
 
     def _make_question(
         self,
@@ -453,6 +443,7 @@
             if question.wants_positions
             else (),
             n_instances=self._n_active_instances,
+            confirmed_age_seconds=round_age(self._confirmed_at, now),
         )
         emissions.append(Emission("peers", PeerEnvelope(peer=peer, message=answer)))
         if question.configuration_version > self._cache.configuration.version or (
@@ -486,6 +477,9 @@
             read_at = asked_at - answer.record_age_seconds
             emissions += self._confirm_by_store(read_at)
             emissions += self._confirm_by_coordinators(now)
+            # What proves to a coordinator that no later record existed at some time
+            # proves it to every instance.
+            emissions += self._confirm(asked_at - answer.confirmed_age_seconds)
         if answer.configuration is not None:
             emissions += self._cache.adopt_configuration(answer.configuration)
         if answer.configuration_version == self._cache.configuration.version:
@@ -559,9 +553,12 @@
     def _emit_isolation(self, now: float) -> list[Emission]:
         """Emit a change when this instance is partitioned and lost its primary leases.
 
-        While all coordinators answer, no other instance holds a lease either, so moving
+        Before its first synchronization it has no sessions and no evidence yet. While
+        all coordinators answer, no other instance holds a lease either, so moving
         sessions elsewhere would not help.
         """
+        if not self._is_synced:
+            return []
         reachable = self._membership.list_reachable(self._record, now)
         has_primary_lease = now - self._confirmed_at <= PRIMARY_LEASE_SECONDS
         is_partitioned = len(reachable) < len(self._record.coordinators)
--- a/src/sardinemill/fleet/store_messages.py
+++ b/src/sardinemill/fleet/store_messages.py
@@ -9,7 +9,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRecord:
-    """Read the fleet record."""
+    """Read the fleet record.
+
+    :param may_be_stale: the answer may be seconds old, which costs the store less.
+    """
+
+    may_be_stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,11 +59,13 @@
 
     :param revision: 0 when the record does not exist.
     :param asked_at: when the request was sent, on the local clock.
+    :param may_be_stale: the record may have been replaced before ``asked_at``.
     """
 
     record: FleetRecord
     revision: int
     asked_at: float
+    may_be_stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/fleet/store_reads.py
+++ b/src/sardinemill/fleet/store_reads.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..interfaces import RandomSource
+from .messages import MAX_AGE_SECONDS
 from .store_messages import (
     ReadConfiguration,
     ReadDirectory,
@@ -12,10 +13,23 @@
 
 MIN_RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 2.0
-# Age that messages give for data that was never read.
-MAX_AGE_SECONDS = 1e9
 NEVER = float("-inf")
 
+RECORD = "record"
+DIRECTORY = "directory"
+CONFIGURATION = "configuration"
+# A coordinator whose evidence for the primary leases is younger than this has it from
+# the other coordinators, and reads the record only to confirm their list.
+CONFIRMED_EVIDENCE_SECONDS = 0.5
+# Interval of these reads; short of the 7 s for which a confirmed list counts.
+CONFIRMED_RECORD_SECONDS = 1.2
+CONFIRMED_RANK_DELAY_SECONDS = 0.5
+# After a start, an instance asks the coordinators that the record names for everything
+# else, and reads the store itself if they give nothing by then.
+FIRST_ANSWER_SECONDS = 0.6
+# The same while the record names no coordinators.
+FIRST_COORDINATOR_SECONDS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class ReadSchedule:
@@ -43,18 +57,18 @@
 # A watch of the store can deliver nothing for seconds, so all parts are polled.
 READ_SCHEDULES = {
     # Primary leases last 1.3 s from a read.
-    "record": ReadSchedule(0.4, 0.15, 0.85, 0.1),
+    RECORD: ReadSchedule(0.4, 0.15, 0.85, 0.1),
     # A leaving database must get no new work 7 s after its entry changed.
-    "directory": ReadSchedule(1.5, 0.5, 3.0, 0.3),
+    DIRECTORY: ReadSchedule(1.5, 0.5, 3.0, 0.3),
     # A configuration has to be in force everywhere within 3 s.
-    "configuration": ReadSchedule(1.0, 0.3, 2.0, 0.3),
+    CONFIGURATION: ReadSchedule(1.0, 0.3, 2.0, 0.3),
 }
 
 
-_REQUESTS: dict[str, StoreRequest] = {
-    "record": ReadRecord(),
-    "directory": ReadDirectory(),
-    "configuration": ReadConfiguration(),
+_REQUEST_TYPES: dict[type[StoreRequest], str] = {
+    ReadRecord: RECORD,
+    ReadDirectory: DIRECTORY,
+    ReadConfiguration: CONFIGURATION,
 }
 
 
@@ -75,38 +89,78 @@
 
 
 class StoreReadScheduler:
-    """Tracks the age of each cached part and starts the reads that are due."""
+    """Tracks the age of each cached part and starts the reads that are due.
+
+    :ivar evidence_at: latest time for which the primary leases have evidence, from the
+        store or from the coordinators.
+    """
 
     def __init__(self, random: RandomSource) -> None:
         self._random = random
         self._jitter = random.random()
         self._reads = {kind: _ReadState() for kind in READ_SCHEDULES}
+        self._started_at: float | None = None
+        self._discovered_at: float | None = None
+        self.evidence_at: float = NEVER
 
-    def list_due(self, rank: int | None, now: float) -> list[StoreRequest]:
+    def list_due(
+        self, rank: int | None, now: float, *, has_coordinators: bool = True
+    ) -> list[StoreRequest]:
         """Return the reads that are due and mark them as in progress.
 
         :param rank: place among the coordinators, ``None`` if it is not one of them.
+        :param has_coordinators: the record that this instance knows names some.
         """
+        if self._started_at is None:
+            self._started_at = now
+        if has_coordinators and self._discovered_at is None:
+            self._discovered_at = now
         due: list[StoreRequest] = []
         for kind, read in self._reads.items():
-            schedule = READ_SCHEDULES[kind]
-            wait = schedule.other_seconds + schedule.jitter_seconds * self._jitter
-            if rank is not None:
-                wait = schedule.base_seconds + rank * schedule.rank_delay_seconds
-            if read.is_in_progress or now < max(
-                read.not_before, read.current_at + wait
-            ):
+            due_at = self._find_due_at(kind, rank, self._started_at, now)
+            if read.is_in_progress or now < max(read.not_before, due_at):
                 continue
             read.is_in_progress = True
             # A read whose answer does not renew the part is not repeated at once.
-            read.not_before = now + schedule.base_seconds
-            due.append(_REQUESTS[kind])
+            read.not_before = now + READ_SCHEDULES[kind].base_seconds
+            due.append(self._make_request(kind, has_coordinators))
         return due
 
+    def _make_request(self, kind: str, has_coordinators: bool) -> StoreRequest:
+        if kind == DIRECTORY:
+            return ReadDirectory()
+        if kind == CONFIGURATION:
+            return ReadConfiguration()
+        # Coordinators that a stale record names can tell what is newer.
+        return ReadRecord(may_be_stale=not has_coordinators)
+
+    def _find_due_at(
+        self, kind: str, rank: int | None, started_at: float, now: float
+    ) -> float:
+        schedule = READ_SCHEDULES[kind]
+        current_at = self._reads[kind].current_at
+        if rank is not None:
+            wait = schedule.base_seconds + rank * schedule.rank_delay_seconds
+            if kind == RECORD and now - self.evidence_at < CONFIRMED_EVIDENCE_SECONDS:
+                wait = CONFIRMED_RECORD_SECONDS + rank * CONFIRMED_RANK_DELAY_SECONDS
+            return current_at + wait
+        jitter = schedule.jitter_seconds * self._jitter
+        if kind == RECORD:
+            known_at = max(current_at, self.evidence_at, self._discovered_at or NEVER)
+            return known_at + schedule.other_seconds + jitter
+        if current_at > NEVER:
+            return current_at + schedule.other_seconds + jitter
+        if self._discovered_at is None:
+            return started_at + FIRST_COORDINATOR_SECONDS + jitter
+        return self._discovered_at + FIRST_ANSWER_SECONDS + jitter
+
     def force(self, kind: str) -> None:
         """Make a read due immediately."""
         self._reads[kind].not_before = NEVER
         self._reads[kind].current_at = NEVER
+        if kind == RECORD:
+            self.evidence_at = NEVER
+            self._discovered_at = None
 
     def record_success(self, kind: str) -> None:
         """Record that a read was answered."""
@@ -115,14 +169,14 @@
 
     def record_failure(self, request: StoreRequest, now: float) -> None:
         """Record that a read failed and schedule a retry with exponential back-off."""
-        for kind, known in _REQUESTS.items():
-            if known == request:
-                read = self._reads[kind]
-                read.is_in_progress = False
-                read.n_failures += 1
-                wait = MIN_RETRY_SECONDS * 2 ** (read.n_failures - 1)
-                wait = min(wait, MAX_RETRY_SECONDS)
-                read.not_before = now + wait * (0.5 + 0.5 * self._random.random())
+        kind = _REQUEST_TYPES.get(type(request))
+        if kind is None:
+            return
+        read = self._reads[kind]
+        read.is_in_progress = False
+        read.n_failures += 1
+        wait = min(MIN_RETRY_SECONDS * 2 ** (read.n_failures - 1), MAX_RETRY_SECONDS)
+        read.not_before = now + wait * (0.5 + 0.5 * self._random.random())
 
     def record_current(self, kind: str, at: float) -> None:
         """Record when a part was current, as read here or by another instance."""
--- a/src/sardinemill/platform/store.py
+++ b/src/sardinemill/platform/store.py
@@ -71,14 +71,18 @@
         """Close the connections."""
         self._client.close()
 
-    async def get(self, kind: str, name: str) -> PlatformObject:
+    async def get(
+        self, kind: str, name: str, *, may_be_stale: bool = False
+    ) -> PlatformObject:
         """Read one object.
 
+        :param may_be_stale: accept an answer that is seconds old, at a lower price.
         :returns: an object of revision 0 if it does not exist.
         :raises StoreUnavailable: when the store gives no valid answer in time.
         :raises StoreRejected: when the store answers with an error status.
         """
-        answer = await self._call("GET", f"{kind}/{name}")
+        query = {"stale_ok": "1"} if may_be_stale else {}
+        answer = await self._call("GET", f"{kind}/{name}", query=query)
         return _decode_object(answer) if answer else PlatformObject(name, 0, None)
 
     async def put(self, kind: str, name: str, content: object, revision: int) -> int:
@@ -227,8 +231,12 @@
     async def _run_request(self, request: StoreRequest) -> object:
         asked_at = self._clock.now()
         if isinstance(request, ReadRecord):
-            found = await self._store.get(RECORD_KIND, RECORD_NAME)
-            return RecordRead(decode_record(found), found.revision, asked_at)
+            found = await self._store.get(
+                RECORD_KIND, RECORD_NAME, may_be_stale=request.may_be_stale
+            )
+            return RecordRead(
+                decode_record(found), found.revision, asked_at, request.may_be_stale
+            )
         if isinstance(request, ReadDirectory):
             objects = await self._store.list(DATABASE_KIND)
             pairs = [(item.name, item.content) for item in objects]
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,5 +1,7 @@
 """Fleet state of several instances on a simulated network."""
 
+from dataclasses import replace
+
 import pytest
 
 from sardinemill.adapters.clocks import SeededRandom
@@ -41,7 +43,12 @@
 from sardinemill.positions import LogPosition
 from sardinemill.sessions.messages import DrainStarted
 from sardinemill.sessions.routes import RoutesChanged
-from session_builders import make_configuration, make_directory, select
+from session_builders import (
+    make_configuration,
+    make_coordinator,
+    make_directory,
+    select,
+)
 
 STEP_SECONDS = 0.05
 
@@ -57,6 +64,7 @@
         self.peer_cut = set()
         self.lost_answers = 0
         self.n_store_calls = 0
+        self.requests = []
         self.writes = []
         self.states = {}
         self.confirmed = {}
@@ -129,11 +137,15 @@
     def call_store(self, name, request):
         """Answer a request to the store."""
         self.n_store_calls += 1
+        self.requests.append((name, request))
         if name in self.store_cut:
             failed = StoreRequestFailed(request, StoreFault.NO_ANSWER, "cut")
             self.deliver(name, failed)
         elif isinstance(request, ReadRecord):
-            self.deliver(name, RecordRead(self.record, self.revision, self.now))
+            read = RecordRead(
+                self.record, self.revision, self.now, request.may_be_stale
+            )
+            self.deliver(name, read)
         elif isinstance(request, ReadDirectory):
             read = DirectoryRead(make_directory().directory, self.now)
             self.deliver(name, read)
@@ -197,6 +209,68 @@
     assert network.n_store_calls <= 2 * (10 / 0.4 + 10 / 1.5 + 10 / 1.0)
 
 
+def test_leases_need_few_questions_and_few_reads_of_the_store(network):
+    """Guards against traffic between data centres and store calls that the leases do
+    not need: an instance asks one coordinator in each round and the others in every
+    second one, and the coordinators confirm the record to each other.
+    """
+    network.n_store_calls = 0
+    questions = list_questions(network, "f", 8)
+    own = find_own_coordinator(network, "f")
+    n_others = sum(peer != own for peer, _ in questions)
+    assert n_others <= 2 * 8 / 0.8 + 2
+    assert network.n_store_calls <= 8 / 1.2 + 8 / 1.5 + 8 / 1.0 + 3
+    assert all(network.find_age(name) < 0.8 for name in network.states)
+
+
+def test_failed_database_is_reported_to_all_coordinators_at_once(network):
+    """Guards against a failover that waits for the next full round of questions."""
+    network.record = replace(
+        network.record, groups=(GroupRecord(group="g", primary="p"),)
+    )
+    network.revision += 1
+    network.run(2)
+    network.deliver("f", DatabaseContact("p", False, network.now))
+    questions = list_questions(network, "f", 0.45)
+    told = {peer for peer, question in questions if question.contacts}
+    assert told == set(network.coordinators)
+
+
+def test_stale_read_renews_no_lease():
+    """Guards against a lease that rests on a record that was already replaced."""
+    state = FleetState(
+        Identity(
+            name="a",
+            data_centre="x",
+            address=Address("10.0.0.1", 7000),
+            incarnation="1",
+        ),
+        SeededRandom(1),
+    )
+    state.tick(100.0)
+    record = FleetRecord(coordinators=(make_coordinator("b"),))
+    emissions = state.handle(RecordRead(record, 4, 100.0, may_be_stale=True), 100.1)
+    (confirmed,) = select(emissions, "record", RecordConfirmed)
+    assert confirmed.confirmed_at < 0
+    emissions = state.handle(RecordRead(record, 4, 100.2), 100.3)
+    (confirmed,) = select(emissions, "record", RecordConfirmed)
+    assert confirmed.confirmed_at == 100.2
+
+
+def test_restarted_instances_learn_from_the_coordinators(network):
+    """Guards against a fleet that reads everything from the store when it returns: each
+    instance reads the record, which may be stale, and asks for the rest.
+    """
+    others = [name for name in network.states if name not in network.coordinators]
+    network.requests.clear()
+    for name in others:
+        network.start(name, 9, incarnation="2")
+    network.run(2)
+    assert set(others) <= set(network.synced_at)
+    by_others = [request for name, request in network.requests if name in others]
+    assert by_others == [ReadRecord(may_be_stale=True)] * len(others)
+
+
 def test_new_configuration_reaches_all_instances(network):
     """Guards against instances that keep an old configuration."""
     network.configuration = make_configuration(version=2)
@@ -545,16 +619,30 @@
     ]
 
 
+def find_own_coordinator(network, name):
+    """Return the coordinator of an instance's data centre."""
+    data_centre = network.states[name]._identity.data_centre
+    (own,) = [
+        item.name
+        for item in network.record.coordinators
+        if item.data_centre == data_centre
+    ]
+    return own
+
+
 def test_positions_are_exchanged_with_one_coordinator(network):
-    """Guards against traffic between data centres that repeats each position."""
+    """Guards against traffic between data centres that repeats each position: they go
+    to the coordinator of the own data centre only.
+    """
+    own = find_own_coordinator(network, "f")
     seen = PositionSeen("g", LogPosition(1, 5), network.now)
     network.deliver("f", seen)
     questions = list_questions(network, "f", 2)
     assert {peer for peer, _ in questions} == set(network.coordinators)
     for peer, question in questions:
-        assert question.wants_positions == (peer == network.coordinators[0])
+        assert question.wants_positions == (peer == own)
     carriers = [peer for peer, question in questions if question.positions]
-    assert carriers == [network.coordinators[0]]
+    assert carriers == [own]
     assert all(network.positions[name].position == seen.position for name in "abcde")
 
 
@@ -578,9 +666,9 @@
     assert network.positions["z"].position == LogPosition(1, 5)
 
 
-def test_positions_go_to_all_coordinators_while_the_first_is_silent(network):
+def test_positions_go_to_all_coordinators_while_the_own_one_is_silent(network):
     """Guards against positions that are not sent until a coordinator is replaced."""
-    network.stop(network.coordinators[0])
+    network.stop(find_own_coordinator(network, "f"))
     network.deliver("f", PositionSeen("g", LogPosition(1, 5), network.now))
     network.run(0.5)
     network.deliver("f", PositionSeen("g", LogPosition(1, 6), network.now))
