Load the metrics exporter when metrics are first requested

Change: counters and gauges are summed up, and up to 2,000 values of histograms kept, until somebody asks for metrics; then the library loads.

--- a/src/sardinemill/platform/metrics.py
+++ b/src/sardinemill/platform/metrics.py
@@ -2,16 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 from ..telemetry import Metric, Telemetry
 
-# The library takes as long to load as the rest of the program, and metrics can wait
-# until the instance serves and the fleet has settled after a common restart.
-LOAD_DELAY_SECONDS = 8.0
-# Measurements that are kept until the library is loaded; further ones are counted.
-MAX_PENDING_MEASUREMENTS = 20_000
+# Values of histograms that are kept until the library is loaded. Further ones are
+# dropped and counted.
+MAX_PENDING_VALUES = 2000
+
+_Key = tuple[Metric, tuple[tuple[str, str], ...]]
 
 
 class MetricsExporter(Telemetry, Protocol):
@@ -22,18 +21,12 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class _Measurement:
-    metric: Metric
-    value: float
-    labels: Mapping[str, str] | None
-
-
 class DeferredMetrics:
-    """Telemetry that keeps measurements until its exporter is loaded.
+    """Telemetry that keeps measurements until metrics are requested for the first time.
 
-    The exporter loads in a thread some time after the start, or at the first request
-    for the metrics.
+    The exporter's library takes as long to load as the rest of the program and needs
+    10 MB. Loading it in all instances some seconds after a common restart made requests
+    late, so it loads when somebody asks.
 
     :param load: imports the exporter's library and returns the exporter.
     """
@@ -41,56 +34,61 @@
     def __init__(self, load: Callable[[], MetricsExporter]) -> None:
         self._load = load
         self._exporter: MetricsExporter | None = None
-        self._pending: list[_Measurement] = []
+        self._totals: dict[_Key, float] = {}
+        self._values: dict[_Key, list[float]] = {}
+        self._n_values = 0
         self._n_dropped = 0
-        self._task: asyncio.Task[None] | None = None
         self._loading: asyncio.Task[MetricsExporter] | None = None
 
     async def start(self) -> None:
-        """Schedule the load."""
-        self._task = asyncio.create_task(self._load_later(), name="metrics loader")
+        """Do nothing: the library loads on demand."""
 
     async def drain(self) -> None:
         """Do nothing: the metrics stay available until the stop."""
 
     async def stop(self) -> None:
-        """Cancel the load."""
-        tasks = [task for task in (self._task, self._loading) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel a load in progress."""
+        if self._loading is not None:
+            self._loading.cancel()
+            await asyncio.gather(self._loading, return_exceptions=True)
 
     def record(
         self, metric: Metric, value: float, labels: Mapping[str, str] | None = None
     ) -> None:
         if self._exporter is not None:
             self._exporter.record(metric, value, labels)
-        elif len(self._pending) < MAX_PENDING_MEASUREMENTS:
-            self._pending.append(_Measurement(metric, value, labels))
+            return
+        key = (metric, tuple(sorted((labels or {}).items())))
+        instrument = metric.value.instrument
+        if instrument == "gauge":
+            self._totals[key] = value
+        elif instrument == "counter":
+            self._totals[key] = self._totals.get(key, 0.0) + value
+        elif self._n_values < MAX_PENDING_VALUES:
+            self._n_values += 1
+            self._values.setdefault(key, []).append(value)
         else:
             self._n_dropped += 1
 
     async def format(self) -> str:
         """Return all metrics in the Prometheus text format."""
-        exporter = await self._ensure_loaded()
-        return exporter.format()
-
-    async def _load_later(self) -> None:
-        await asyncio.sleep(LOAD_DELAY_SECONDS)
-        await self._ensure_loaded()
-
-    async def _ensure_loaded(self) -> MetricsExporter:
         if self._loading is None:
             self._loading = asyncio.create_task(self._load_exporter())
-        return await asyncio.shield(self._loading)
+        exporter = await asyncio.shield(self._loading)
+        return exporter.format()
 
     async def _load_exporter(self) -> MetricsExporter:
+        # In a thread, since the import would block the event loop.
         exporter = await asyncio.to_thread(self._load)
-        for item in self._pending:
-            exporter.record(item.metric, item.value, item.labels)
+        for (metric, labels), total in self._totals.items():
+            exporter.record(metric, total, dict(labels))
+        for (metric, labels), values in self._values.items():
+            for value in values:
+                exporter.record(metric, value, dict(labels))
         if self._n_dropped:
             exporter.record(Metric.DROPPED_MEASUREMENTS, float(self._n_dropped))
-        self._pending.clear()
+        self._totals.clear()
+        self._values.clear()
         self._exporter = exporter
         return exporter
 
@@ -103,7 +101,6 @@
     """
 
     def load() -> MetricsExporter:
-        # Imported late, see LOAD_DELAY_SECONDS.
         from .prometheus_exporter import PrometheusExporter
 
         return PrometheusExporter(instance, data_centre)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -198,18 +198,31 @@
     asyncio.run(run())
 
 
-def test_measurements_beyond_the_limit_are_counted(monkeypatch):
-    """Guards against memory that grows until the exporter loads, and against counters
-    that are too low without notice.
+def test_measurements_before_the_first_request_are_exported(monkeypatch):
+    """Guards against counters that start at the first request for metrics, against
+    memory that grows until then, and against values that are dropped without notice.
     """
 
     async def run():
-        monkeypatch.setattr("sardinemill.platform.metrics.MAX_PENDING_MEASUREMENTS", 2)
+        monkeypatch.setattr("sardinemill.platform.metrics.MAX_PENDING_VALUES", 2)
         exporter = MemoryExporter()
         metrics = DeferredMetrics(lambda: exporter)
-        for _ in range(5):
-            metrics.record(Metric.STATEMENTS, 1.0)
+        for value in (1.0, 2.0, 3.0):
+            metrics.record(Metric.STATEMENTS, value, {"code": "ok"})
+            metrics.record(Metric.CONFIGURATION_VERSION, value)
+            metrics.record(Metric.STATEMENT_SECONDS, value, {"kind": "read"})
         await metrics.format()
-        assert exporter.recorded[2:] == [(Metric.DROPPED_MEASUREMENTS, 3.0)]
+        assert sorted(exporter.recorded, key=str) == sorted(
+            [
+                (Metric.STATEMENTS, 6.0),
+                (Metric.CONFIGURATION_VERSION, 3.0),
+                (Metric.STATEMENT_SECONDS, 1.0),
+                (Metric.STATEMENT_SECONDS, 2.0),
+                (Metric.DROPPED_MEASUREMENTS, 1.0),
+            ],
+            key=str,
+        )
+        metrics.record(Metric.STATEMENTS, 1.0)
+        assert len(exporter.recorded) == 6
 
     asyncio.run(run())
