Exchange positions of coordinators in every second round; say lease where texts said right

Newcomers met 'right' for the primary lease in refusals and stage names that differ from their classes.

Change: positions in every second round of a coordinator; refusals say 'lease evidence', stages are called failover, token lender and session manager. The names of the events right_lost and right_regained stay.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -72,7 +72,7 @@
 class FailoverStep(StrEnum):
     """Step of a failover at its holder."""
 
-    AWAIT_LEASE_EXPIRY = "wait for rights to end"
+    AWAIT_LEASE_EXPIRY = "wait for leases to expire"
     QUERY_REPLICAS = "ask replicas for positions"
     PROMOTE = "order the promotion"
     CONFIRM = "wait for the new primary"
--- a/src/sardinemill/fleet/question_schedule.py
+++ b/src/sardinemill/fleet/question_schedule.py
@@ -48,6 +48,7 @@
         self._identity = identity
         self._next_round_at = NEVER
         self._next_full_round_at = NEVER
+        self._n_rounds = 0
 
     def is_due(self, now: float) -> bool:
         """Return whether the next round is due."""
@@ -77,7 +78,13 @@
             for item in record.coordinators
             if item.name != self._identity.name
         ]
-        own = None if is_coordinator else self._find_own(record, reachable)
+        if is_coordinator:
+            # Positions as often as from other instances; the rounds in between confirm
+            # the record.
+            self._n_rounds += 1
+            with_positions = is_urgent or self._n_rounds % 2 == 0
+            return [QuestionReceiver(name, with_positions) for name in others]
+        own = self._find_own(record, reachable)
         if own is None or not is_last_answered(own):
             self._next_full_round_at = now + FULL_ROUND_SECONDS
             return [QuestionReceiver(name, True) for name in others]
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -230,9 +230,9 @@
         self._clock = adapters.clock
         self._events = adapters.events
         state = self._make_stage("state", FleetState(identity, adapters.random_source))
-        failover = self._make_stage("promotion", PrimaryFailover(identity.name))
-        lending = self._make_stage("lending", TokenLender(identity.name))
-        session_manager = self._make_stage("conversations", SessionManager())
+        failover = self._make_stage("failover", PrimaryFailover(identity.name))
+        lending = self._make_stage("token lender", TokenLender(identity.name))
+        session_manager = self._make_stage("session manager", SessionManager())
         admission = self._make_stage("admission", Admission())
         placement = self._make_stage("placement", Placement(identity.data_centre))
         self.readiness = Readiness()
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -235,8 +235,8 @@
             return self._refuse(
                 pending,
                 ErrorCode.BUSY,
-                f"no database to use: primary {phase}, right {age:.2f} s old,"
-                f" {len(pending.tried)} tried; retry after 0.5 s",
+                f"no database to use: primary {phase}, lease evidence {age:.2f} s"
+                f" old, {len(pending.tried)} tried; retry after 0.5 s",
             )
         pending.is_on_primary = primary is not None and chosen.name == primary.name
         pending.minimum_position = None if pending.is_on_primary else minimum_position
