Open a connection when a transaction begins, not at its first statement

Change: BEGIN announces the transaction, and placement opens a connection to the database that the first statement will probably use, within the quota and if none is free. Ruled out: evicting another workspace's connection for it (the client may never continue).

--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -281,7 +281,12 @@
         )
         lending.bind({"peers": peers})
         session_manager.bind(
-            {"next": admission, "client": listener, "abandoned": placement}
+            {
+                "next": admission,
+                "client": listener,
+                "abandoned": placement,
+                "expected": placement,
+            }
         )
         admission.bind(
             {
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -226,10 +226,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OperationStarted:
-    """A transaction began; its first statement needs admission."""
+class TransactionExpected:
+    """A client began a transaction; its first statement will need a connection."""
 
-    request: StatementRequest
+    route: Route
+    workspace: str
+    is_read_only: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
