Revert: open a connection when a transaction begins

So the client's first statement follows its BEGIN closely, and the connection is opened no earlier in effect.

--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -281,12 +281,7 @@
         )
         lending.bind({"peers": peers})
         session_manager.bind(
-            {
-                "next": admission,
-                "client": listener,
-                "abandoned": placement,
-                "expected": placement,
-            }
+            {"next": admission, "client": listener, "abandoned": placement}
         )
         admission.bind(
             {
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -27,7 +27,6 @@
     StatementRequest,
     StatementResult,
     TransactionAbandoned,
-    TransactionExpected,
     TransactionStep,
 )
 from .routes import EMPTY_ROUTE_TABLE, Consistency, Route, RoutesChanged
@@ -83,8 +82,7 @@
     """Answers statements that need no database and forwards the others as requests.
 
     Outlets: ``next`` (:class:`StatementRequest`), ``client`` (answers), ``abandoned``
-    (:class:`TransactionAbandoned`), ``expected`` (:class:`TransactionExpected`),
-    ``events``.
+    (:class:`TransactionAbandoned`), ``events``.
     """
 
     def __init__(self) -> None:
@@ -201,7 +199,7 @@
                 _make_refusal(session, ErrorCode.MALFORMED, "the transaction failed")
             ]
         if kind is StatementKind.BEGIN:
-            return self._begin_transaction(session, message.statement)
+            return [self._begin_transaction(session, message.statement)]
         if is_end:
             return self._end_transaction(session, message, now)
         if kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE):
@@ -225,21 +223,16 @@
             return _make_refusal(session, ErrorCode.MALFORMED, "not a statement")
         return _make_success(session)
 
-    def _begin_transaction(
-        self, session: _Session, statement: Statement
-    ) -> list[Emission]:
+    def _begin_transaction(self, session: _Session, statement: Statement) -> Emission:
         if session.transaction is not None:
-            return [
-                _make_refusal(session, ErrorCode.MALFORMED, "a transaction is open")
-            ]
+            return _make_refusal(session, ErrorCode.MALFORMED, "a transaction is open")
         resolved, refusal = self._resolve_route(session.database, session.key)
         if resolved is None:
             assert refusal is not None
-            return [_make_refusal(session, *refusal)]
+            return _make_refusal(session, *refusal)
         route, workspace = resolved
         session.transaction = _Transaction(route, workspace, statement.is_read_only)
-        expected = TransactionExpected(route, workspace, statement.is_read_only)
-        return [_make_success(session), Emission("expected", expected)]
+        return _make_success(session)
 
     def _end_transaction(
         self, session: _Session, message: StatementReceived, now: float
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -226,12 +226,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TransactionExpected:
-    """A client began a transaction; its first statement will need a connection."""
+class OperationStarted:
+    """A transaction began; its first statement needs admission."""
 
-    route: Route
-    workspace: str
-    is_read_only: bool
+    request: StatementRequest
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -43,7 +43,6 @@
     StatementRequest,
     StatementResult,
     TransactionAbandoned,
-    TransactionExpected,
     TransactionStep,
 )
 from .routes import EMPTY_ROUTE_TABLE, Consistency, RoutesChanged
@@ -130,8 +129,6 @@
             return self._handle_rolled_back(message, now)
         if isinstance(message, TransactionAbandoned):
             return self._abandon_transaction(message.session_id)
-        if isinstance(message, TransactionExpected):
-            return self._prepare_connection(message, now)
         if isinstance(message, RecordConfirmed):
             self._databases.confirm_record(message)
             return self._emit_lease_change(now)
@@ -327,43 +324,6 @@
         command = OpenConnection(connection.connection_id, entry, workspace)
         return [*emissions, Emission("connections", command)]
 
-    def _prepare_connection(
-        self, expected: TransactionExpected, now: float
-    ) -> list[Emission]:
-        """Open a connection for a transaction while its client prepares a statement.
-
-        Opening one takes longer than most statements. It is opened only within the
-        quota, since the client may leave without a statement.
-        """
-        entry = self._find_expected_database(expected, now)
-        if entry is None:
-            return []
-        connections = self._pool.list_connections(entry.name)
-        quota = max(1.0, self._compute_connection_quota(entry.group))
-        is_prepared = any(
-            item.workspace == expected.workspace and (item.is_idle or not item.is_open)
-            for item in connections
-        )
-        if is_prepared or len(connections) >= quota:
-            return []
-        return self._open_connection(entry.name, expected.workspace, now)
-
-    def _find_expected_database(
-        self, expected: TransactionExpected, now: float
-    ) -> DatabaseEntry | None:
-        """Return the database that the first statement will probably use."""
-        group = expected.route.group
-        if expected.is_read_only and (
-            expected.route.consistency is not Consistency.PRIMARY
-        ):
-            return self._databases.choose_read_database(
-                group,
-                (),
-                lambda entry: self._estimate_load(entry, expected.workspace),
-                now,
-            )
-        return self._databases.find_primary(group, now)
-
     def _close_connection(self, connection: Connection) -> Emission:
         self._pool.remove_connection(connection.connection_id)
         return Emission("connections", CloseConnection(connection.connection_id))
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -2,11 +2,7 @@
 
 from sardinemill.fleet.primary_lease import PRIMARY_LEASE_SECONDS
 from sardinemill.fleet.records import GroupPhase
-from sardinemill.fleet.views import (
-    DatabaseContact,
-    PositionSeen,
-    ReachableCoordinatorsChanged,
-)
+from sardinemill.fleet.views import DatabaseContact, PositionSeen
 from sardinemill.positions import LogPosition
 from sardinemill.sessions.connection_messages import (
     CloseConnection,
@@ -22,7 +18,6 @@
     ErrorCode,
     StatementResult,
     TransactionAbandoned,
-    TransactionExpected,
     TransactionStep,
 )
 from sardinemill.sessions.placement import Placement
@@ -386,50 +381,3 @@
     (result,) = select(emissions, "result", StatementResult)
     assert result.code is ErrorCode.ABORTED
     assert select(emissions, "connections") == []
-
-
-def expect_transaction(placement, route=BOOKINGS_ROUTE, is_read_only=False, now=NOW):
-    """Announce a transaction of the workspace; return the emissions."""
-    expected = TransactionExpected(route, "hives", is_read_only)
-    return placement.handle(expected, now)
-
-
-def test_connection_is_opened_while_the_client_prepares_its_first_statement():
-    """Guards against a transaction that waits for a connection although the instance
-    learned of it a round trip earlier.
-    """
-    placement = make_placement()
-    emissions = expect_transaction(placement)
-    (opening,) = select(emissions, "connections", OpenConnection)
-    assert opening.database.name == "p"
-    open_all(placement, emissions)
-    request = make_statement_request(
-        1, WRITE, BOOKINGS_ROUTE, step=TransactionStep.FIRST
-    )
-    emissions = placement.handle(request, NOW)
-    assert select(emissions, "connections", OpenConnection) == []
-    (run,) = select(emissions, "connections", RunStatement)
-    assert run.connection_id == opening.connection_id
-
-
-def test_expected_transaction_uses_an_idle_connection():
-    """Guards against new connections where one of the workspace is free."""
-    placement = make_placement()
-    open_all(placement, expect_transaction(placement))
-    assert expect_transaction(placement) == []
-
-
-def test_expected_transactions_stay_within_the_quota():
-    """Guards against connections for clients that begin and never send a statement."""
-    placement = make_placement()
-    # 0.8 x 49 connections over 40 instances.
-    placement.handle(ReachableCoordinatorsChanged(("a",), 40), NOW)
-    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE)
-    run_request(placement, request)
-    assert expect_transaction(placement) == []
-
-
-def test_no_connection_is_prepared_without_a_primary():
-    """Guards against connections to a primary that is being replaced."""
-    placement = make_placement(confirmed_at=NOW - PRIMARY_LEASE_SECONDS - 1)
-    assert expect_transaction(placement) == []
