Spread reads of equally near replicas over the instances

Cause: where several replicas cost the same, each instance took the first of the directory, and all instances have the same order.

Change: equal costs are ordered by rendezvous hashing of instance and database. Test: 60 instances of a data centre without databases use both replicas; it failed before. Also drops an unused message type.

--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -234,7 +234,9 @@
         lending = self._make_stage("token lender", TokenLender(identity.name))
         session_manager = self._make_stage("session manager", SessionManager())
         admission = self._make_stage("admission", Admission())
-        placement = self._make_stage("placement", Placement(identity.data_centre))
+        placement = self._make_stage(
+            "placement", Placement(identity.data_centre, identity.name)
+        )
         self.readiness = Readiness()
         observer = adapters.observer
         store = adapters.make_store(FanOut([state, observer]))
--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -3,12 +3,12 @@
 Plain state without I/O; :class:`~sardinemill.sessions.placement.Placement` owns it.
 """
 
-import math
 from collections.abc import Callable, Collection
 
 from ..fleet.primary_lease import PRIMARY_LEASE_SECONDS
 from ..fleet.records import DatabaseEntry, Directory, FleetRecord, GroupPhase
 from ..fleet.views import PositionSeen, RecordConfirmed, merge_positions
+from ..groups import rank_candidates
 from ..positions import LogPosition
 from .messages import StatementRequest
 
@@ -34,10 +34,14 @@
     """What this instance knows of databases: directory, primaries, positions, failures.
 
     :param data_centre: of this instance; databases of other data centres cost more.
+    :param instance: name of this instance; instances order databases of equal cost
+        differently, so that they do not all use the same one.
     """
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, instance: str = "") -> None:
         self._data_centre = data_centre
+        self._instance = instance
+        self._preferences: dict[str, int] = {}
         self._record = FleetRecord()
         self._confirmed_at = NEVER
         self._directory = Directory()
@@ -68,6 +72,8 @@
             name: item for name, item in self._removed.items() if name not in present
         }
         self._directory = directory
+        ranked = rank_candidates(self._instance, present)
+        self._preferences = {name: rank for rank, name in enumerate(ranked)}
 
     def merge_position(self, seen: PositionSeen) -> None:
         """Merge a reported position of a primary."""
@@ -166,8 +172,7 @@
         unusable_primary = (
             "" if record is None or primary is not None else record.primary
         )
-        best: DatabaseEntry | None = None
-        best_cost = math.inf
+        costs: dict[DatabaseEntry, float] = {}
         for entry in self._list_group(group, now):
             is_primary = primary is not None and entry.name == primary.name
             is_lagging = now < self._lagging_until.get(entry.name, NEVER)
@@ -181,9 +186,16 @@
                 continue
             cost = estimate_load(entry) + self._estimate_cost(entry, now)
             cost += PRIMARY_COST if is_primary else 0.0
-            if cost < best_cost:
-                best, best_cost = entry, cost
-        return best
+            costs[entry] = cost
+        n_known = len(self._preferences)
+        return min(
+            costs,
+            key=lambda entry: (
+                costs[entry],
+                self._preferences.get(entry.name, n_known),
+            ),
+            default=None,
+        )
 
     def _estimate_cost(self, entry: DatabaseEntry, now: float) -> float:
         cost = REMOTE_COST if entry.data_centre != self._data_centre else 0.0
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -225,13 +225,6 @@
     has_begun: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class OperationStarted:
-    """A transaction began; its first statement needs admission."""
-
-    request: StatementRequest
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Dispatch:
     """Attempt to run a statement at one database.
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -94,10 +94,11 @@
     :class:`DatabaseContact`), ``events``.
 
     :param data_centre: of this instance.
+    :param instance: name of this instance.
     """
 
-    def __init__(self, data_centre: str) -> None:
-        self._databases = DatabaseView(data_centre)
+    def __init__(self, data_centre: str, instance: str = "") -> None:
+        self._databases = DatabaseView(data_centre, instance)
         self._pool = PoolState()
         self._pending: dict[int, _PendingStatement] = {}
         self._full_until: dict[str, float] = {}
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -1,5 +1,7 @@
 """Choice of database and connection, with a simulated clock."""
 
+from collections import Counter
+
 from sardinemill.fleet.primary_lease import PRIMARY_LEASE_SECONDS
 from sardinemill.fleet.records import GroupPhase
 from sardinemill.fleet.views import DatabaseContact, PositionSeen
@@ -381,3 +383,20 @@
     (result,) = select(emissions, "result", StatementResult)
     assert result.code is ErrorCode.ABORTED
     assert select(emissions, "connections") == []
+
+
+def test_instances_of_a_data_centre_without_databases_spread_their_reads():
+    """Guards against a fleet in which all instances prefer the same one of several
+    equally near replicas, so that it is busy while the others idle.
+    """
+    chosen = Counter()
+    for number in range(60):
+        placement = Placement("other", f"front-{number}")
+        placement.handle(make_routes_changed(), NOW)
+        placement.handle(make_directory(), NOW)
+        placement.handle(make_confirmed(NOW), NOW)
+        placement.handle(PositionSeen("g", POSITION, NOW), NOW)
+        run = run_request(placement, make_statement_request())
+        chosen[run.dispatch.database] += 1
+    assert set(chosen) == {"r1", "r2"}
+    assert min(chosen.values()) >= 15
