Start a failover when an abandoned one leaves the primary without a majority

Cause: a failover that was abandoned had fenced one replica at term 2, the other replica had restarted without its log.

Change: the primary also counts as superseded when a database is fenced above it and those that still follow it are no majority. The next term fences both, one of them leads it, and the restarted one is readmitted. Ruled out: readmitting against a higher fence (its lost vote may have been used in that term).

HTTP path only: the platform's path does not load this module.

--- a/src/sardinemill/filters/primary_health.py
+++ b/src/sardinemill/filters/primary_health.py
@@ -167,13 +167,22 @@
             del self._lost_positions[name]
 
     def _check_superseded(self, now: float) -> None:
+        """Record since when a fence keeps the primary's writes from a majority.
+
+        That is so when a majority is fenced at a higher term. It is also so when an
+        abandoned election has fenced fewer, and those that still follow the primary are
+        no majority because others restarted without their log: such a database is not
+        readmitted while another one is fenced above the primary.
+        """
         term = self._primary_term
-        fenced = [
+        fenced = {
             name
             for name, report in self._reports.items()
             if report.fenced_term > term and not report.is_recovering
-        ]
-        if not has_majority(self.group, fenced):
+        }
+        names = {item.name for item in self.group.databases}
+        followers = names - fenced - set(self._list_recovering())
+        if not fenced or has_majority(self.group, followers):
             self._superseded_since = None
         elif self._superseded_since is None:
             self._superseded_since = now
