Replay a hot workspace and clustered operations against the queue for tokens

The tests show the bound of the wait, refusals at once with a time to come back, and no refusal where tokens accrue in time.

--- a/tests/test_fleet_tokens.py
+++ b/tests/test_fleet_tokens.py
@@ -83,12 +83,22 @@
         order = [i for i, weight in enumerate(weights) for _ in range(weight)]
         for number in range(int(seconds * per_second)):
             self.now += 1 / per_second
-            for index, instance in enumerate(self.instances):
-                due = instance.next_tick
-                if due is not None and due <= self.now:
-                    self._process(index, instance.tick(self.now))
+            self._tick_due()
             self.request(order[number % len(order)])
 
+    def advance(self, seconds):
+        """Let time pass without operations."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.005)
+            self._tick_due()
+
+    def _tick_due(self):
+        for index, instance in enumerate(self.instances):
+            due = instance.next_tick
+            if due is not None and due <= self.now:
+                self._process(index, instance.tick(self.now))
+
     def find_busiest_window(self):
         """Return the largest number of operations admitted in one window."""
         return max(
@@ -309,3 +319,59 @@
     ) + TOLERANCE_OPERATIONS
     assert n_admitted <= allowed
     assert primary.capacity <= max(1.0, plan.burst)
+
+
+class MeasuredFleet(Fleet):
+    """Fleet that records how long each operation waited until it was admitted."""
+
+    def __init__(self, *args, **fields):
+        super().__init__(*args, **fields)
+        self.route = TARGET_ROUTE
+        self.waits = []
+        self.refusals = []
+
+    def _process(self, index, emissions):
+        requests = select(emissions, "next", StatementRequest)
+        self.waits += [self.now - item.received_at for item in requests]
+        self.refusals += [
+            (self.now - item.request.received_at, item.message)
+            for item in select(emissions, "result", StatementResult)
+        ]
+        super()._process(index, emissions)
+
+
+def test_workspace_at_several_times_its_rate_has_a_short_queue():
+    """Load pattern: one workspace sends 7.5 times its rate through 195 instances.
+
+    Guards against a queue that makes all its operations late: what is admitted waits at
+    most half of the objective, the rest is refused at once with a time to come back.
+    """
+    fleet = MeasuredFleet(n_instances=195, rate=20.0, burst=20.0)
+    fleet.run(6, 150)
+    assert len(fleet.admitted) >= 0.9 * 20 * 6
+    assert fleet.find_busiest_window() <= fleet.limit
+    assert max(fleet.waits) <= 0.5 * TARGET_ROUTE.target_seconds + 0.02
+    assert max(wait for wait, _ in fleet.refusals) <= 0.01
+    assert all("retry after" in message for _, message in fleet.refusals)
+
+
+def test_cluster_of_operations_is_smoothed_instead_of_refused():
+    """Load pattern: operations of a workspace arrive in clusters that exceed its burst,
+    below its rate on average.
+
+    Guards against refusals and retries where the tokens come a little later.
+    """
+    n_refused = {}
+    for route in (TARGET_ROUTE, BOOKINGS_ROUTE):
+        fleet = MeasuredFleet(n_instances=60, rate=16.0, burst=4.0)
+        fleet.route = route
+        # The first request starts the bucket with a quarter of the burst.
+        fleet.request(0)
+        fleet.advance(1)
+        for _ in range(20):
+            for number in range(5):
+                fleet.request(number * 7)
+            fleet.advance(1 / 3)
+        n_refused[route.name] = fleet.n_refused
+    assert n_refused[BOOKINGS_ROUTE.name] >= 10
+    assert n_refused[TARGET_ROUTE.name] == 0
