Bound what instances without a lender admit together; ask the next lender at once

Cause: each instance admitted a first operation of a workspace without a lender. With hundreds of instances these exceed a small limit: 120 operations in 5 s of at most 39.8 (rate 3, 195 instances), 161 of 46.4 (rate 4, 620), 370 of 284 (rate 40, 195). And an operation of a dead lender was refused until the others had noticed.

Change: instances without a lender share a part of the allowance; where there are more instances than first operations, a hash of workspace and instance says which have one. A lender that gives no grant in 0.25 s is passed over for 1 s in favour of the next one. The tolerance comes from the platform's settings (bounds.quota_*), checked at start.

--- a/src/sardinemill/fleet/tokens.py
+++ b/src/sardinemill/fleet/tokens.py
@@ -7,87 +7,23 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from ..control import PeerEnvelope
 from ..groups import rank_candidates
 from ..interfaces import Emission
 from ..sessions.routes import EMPTY_ROUTE_TABLE, RoutesChanged, WorkspacePlan
 from .messages import TokenGrant, TokenRequest
+from .rate_tolerance import (
+    DEFAULT_TOLERANCE,
+    LenderLimits,
+    RateTolerance,
+    compute_lender_limits,
+)
 from .views import RecordConfirmed
 
 # Part of the burst that a new bucket starts with. A lender does not know what its
 # predecessor lent just before; this way both together stay within the tolerance.
 INITIAL_LEVEL_FRACTION = 0.25
-# The primary lender's bucket holds the whole burst if that takes no more than this part
-# of the allowance, and otherwise this part, but at least half of the burst.
-PRIMARY_ALLOWANCE_FRACTION = 0.25
-MIN_BURST_FRACTION = 0.5
-# Part of the remaining allowance that each of two secondary lenders gets. The rest
-# covers instances without a lender and tokens that were lent before a partition.
-SECONDARY_ALLOWANCE_FRACTION = 0.3
-# Part of a secondary lender's allowance that is its burst.
-SECONDARY_BURST_FRACTION = 0.2
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RateTolerance:
-    """How far the operations of a workspace may exceed its plan.
-
-    In each window at most ``(1 + fraction) * (rate * window + burst) + n_operations``
-    operations may run.
-
-    :param fraction: of the operations that the plan allows in a window.
-    :param n_operations: that are allowed besides.
-    """
-
-    window_seconds: float = 5.0
-    fraction: float = 0.1
-    n_operations: float = 20.0
-
-
-DEFAULT_TOLERANCE = RateTolerance()
-
-
-@dataclass(frozen=True, slots=True)
-class LenderLimits:
-    """Limits of a lender's token bucket for one workspace.
-
-    :param rate: tokens per second.
-    :param capacity: maximum number of tokens.
-    """
-
-    rate: float
-    capacity: float
-
-
-def compute_lender_limits(
-    plan: WorkspacePlan, tolerance: RateTolerance, *, is_primary: bool
-) -> LenderLimits:
-    """Divide the operations that a plan allows in a window among its lenders.
-
-    The primary lender lends at the plan's rate. The allowance, all that may run in a
-    window beyond that rate, is divided among its burst and the secondary lenders, so
-    that all lenders of a partitioned fleet together stay within the tolerance.
-    """
-    window, rate = tolerance.window_seconds, plan.operations_per_second
-    n_in_window = rate * window
-    allowance = (
-        (1 + tolerance.fraction) * (n_in_window + plan.burst)
-        + tolerance.n_operations
-        - n_in_window
-    )
-    capacity = min(
-        plan.burst,
-        max(MIN_BURST_FRACTION * plan.burst, PRIMARY_ALLOWANCE_FRACTION * allowance),
-    )
-    if is_primary:
-        return LenderLimits(rate, max(1.0, capacity))
-    n_secondary = SECONDARY_ALLOWANCE_FRACTION * (allowance - capacity)
-    n_burst = SECONDARY_BURST_FRACTION * n_secondary
-    return LenderLimits(
-        min(rate, (n_secondary - n_burst) / window), max(1.0, min(n_burst, plan.burst))
-    )
 
 
 class TokenBucket:
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -78,6 +78,7 @@
             components=(store, probes, metrics),
         ),
         stop_seconds=settings.stop_seconds,
+        tolerance=settings.rate_tolerance,
     )
     return instance
 
--- a/src/sardinemill/platform/settings.py
+++ b/src/sardinemill/platform/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ..errors import SettingsError
+from ..fleet.rate_tolerance import DEFAULT_TOLERANCE, RateTolerance
 from ..groups import Address
 
 SETTINGS_PATH_VARIABLE = "SARDINEMILL_BOOT"
@@ -23,6 +24,14 @@
     "platform.address",
     "cloud.address",
 )
+# Defaults of the optional numbers.
+NUMBER_DEFAULTS = {
+    "bounds.grace_s": "6",
+    "bounds.drain_ms": "7000",
+    "bounds.quota_window_s": "5",
+    "bounds.quota_overshoot": "0.1",
+    "bounds.quota_slack": "20",
+}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +48,7 @@
     :param stop_seconds: time from SIGTERM to SIGKILL.
     :param leave_seconds: time within which a draining database must stop receiving
         new work.
+    :param rate_tolerance: how far operations may exceed the plan of a workspace.
     """
 
     instance: str
@@ -52,6 +62,7 @@
     promotion_address: Address
     stop_seconds: float
     leave_seconds: float
+    rate_tolerance: RateTolerance = DEFAULT_TOLERANCE
 
 
 def read_platform_settings(environment: Mapping[str, str]) -> PlatformSettings:
@@ -104,7 +115,7 @@
             f"{ADVERTISED_ADDRESS_VARIABLE}={advertised}: not an IP address and port"
         )
     numbers: dict[str, float] = {}
-    for name, default in (("bounds.grace_s", "6"), ("bounds.drain_ms", "7000")):
+    for name, default in NUMBER_DEFAULTS.items():
         try:
             numbers[name] = float(fields.get(name) or default)
         except ValueError:
@@ -125,6 +136,11 @@
         promotion_address=addresses["cloud.address"],
         stop_seconds=numbers["bounds.grace_s"],
         leave_seconds=numbers["bounds.drain_ms"] / 1000,
+        rate_tolerance=RateTolerance(
+            window_seconds=numbers["bounds.quota_window_s"],
+            fraction=numbers["bounds.quota_overshoot"],
+            n_operations=numbers["bounds.quota_slack"],
+        ),
     )
 
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -9,6 +9,7 @@
 from .events import Event, EventName
 from .fleet.failover import PrimaryFailover
 from .fleet.messages import FleetAnswer, FleetQuestion, TokenGrant, TokenRequest
+from .fleet.rate_tolerance import DEFAULT_TOLERANCE, RateTolerance
 from .fleet.state import FleetState
 from .fleet.tokens import TokenLender
 from .fleet.views import (
@@ -218,6 +219,7 @@
     """Connected filters and adapters of one instance.
 
     :param stop_seconds: time from the stop signal until the process is killed.
+    :param tolerance: of the rate limits.
     """
 
     def __init__(
@@ -226,14 +228,17 @@
         adapters: SessionInstanceAdapters,
         *,
         stop_seconds: float,
+        tolerance: RateTolerance = DEFAULT_TOLERANCE,
     ) -> None:
         self._clock = adapters.clock
         self._events = adapters.events
         state = self._make_stage("state", FleetState(identity, adapters.random_source))
         failover = self._make_stage("failover", PrimaryFailover(identity.name))
-        lending = self._make_stage("token lender", TokenLender(identity.name))
+        lending = self._make_stage(
+            "token lender", TokenLender(identity.name, tolerance)
+        )
         session_manager = self._make_stage("session manager", SessionManager())
-        admission = self._make_stage("admission", Admission())
+        admission = self._make_stage("admission", Admission(identity.name, tolerance))
         placement = self._make_stage(
             "placement", Placement(identity.data_centre, identity.name)
         )
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -12,8 +12,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import xxhash
+
 from ..control import PeerEnvelope
 from ..fleet.messages import TokenGrant, TokenRequest
+from ..fleet.rate_tolerance import (
+    DEFAULT_TOLERANCE,
+    RateTolerance,
+    compute_fallback_limits,
+)
 from ..fleet.views import ReachableCoordinatorsChanged
 from ..groups import rank_candidates
 from ..interfaces import Emission
@@ -32,10 +39,14 @@
 RATE_WINDOW_SECONDS = 2.0
 # Limit of the queue of one workspace for tokens.
 MAX_QUEUED_OPERATIONS = 64
+# A lender without an answer in time is passed over for this time, in favour of the next
+# one of the workspace.
+LENDER_BACKOFF_SECONDS = 1.0
 # Without a lender, an instance admits this fraction of the rate that was granted to it
-# before, or of an equal share of the limit if that is more, so that all instances
-# together stay within the tolerance of the limit.
+# before, so that all instances together stay within the tolerance of the limit.
 FALLBACK_FRACTION = 0.25
+# Instances that admitted nothing without a lender for this time start anew.
+FALLBACK_RESET_SECONDS = 5.0
 # An operation waits for a reserved token for at most this part of its route's latency
 # objective. The rest is left for the database.
 MAX_WAIT_FRACTION = 0.5
@@ -72,7 +83,8 @@
     :ivar demand_rate: rate of the operations that arrived.
     :ivar granted_rate: rate of those that a lender's tokens admitted; over all
         instances it adds up to no more than the limit.
-    :ivar fallback_level: tokens for admission without a lender.
+    :ivar fallback_level: tokens for admission without a lender, as of
+        ``fallback_updated_at``.
     :ivar queue: operations that wait for tokens; the first ones for ``reservations``.
     :ivar reservations: times from which reserved tokens are valid, in order.
     :ivar pending_request: token request without an answer.
@@ -85,7 +97,7 @@
         self.expires_at: float = NEVER
         self.demand_rate: SmoothedRate = SmoothedRate()
         self.granted_rate: SmoothedRate = SmoothedRate()
-        self.fallback_level: float = 1.0
+        self.fallback_level: float = 0.0
         self.fallback_updated_at: float = NEVER
         self.queue: deque[StatementRequest] = deque()
         self.reservations: deque[float] = deque()
@@ -114,13 +126,12 @@
     """Token request without an answer.
 
     :param n_waiting: operations that it asks tokens for.
-    :param max_wait_seconds: longest useful wait of these.
     """
 
     number: int
+    lender: str
     sent_at: float
     n_waiting: int
-    max_wait_seconds: float
 
 
 class Admission:
@@ -128,9 +139,17 @@
 
     Outlets: ``next`` (:class:`StatementRequest`), ``result``
     (:class:`StatementResult`), ``peers`` (:class:`TokenRequest`).
+
+    :param instance: name of this instance.
+    :param tolerance: of the rate limits.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, instance: str = "", tolerance: RateTolerance = DEFAULT_TOLERANCE
+    ) -> None:
+        self._instance = instance
+        self._tolerance = tolerance
+        self._silent_until: dict[str, float] = {}
         self._route_table = EMPTY_ROUTE_TABLE
         self._coordinators: tuple[str, ...] = ()
         self._n_instances = 1
@@ -147,6 +166,7 @@
             return self._handle_request(message, now)
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, TokenGrant):
+                self._silent_until.pop(message.peer, None)
                 return self._handle_grant(message.message, now)
         elif isinstance(message, StatementResult):
             self._handle_result(message, now)
@@ -168,11 +188,25 @@
             expires_at = pending.sent_at + GRANT_TIMEOUT_SECONDS
             if now >= expires_at:
                 limiter.pending_request = None
-                emissions += self._admit_without_lender(workspace, limiter, now)
+                self._silent_until[pending.lender] = now + LENDER_BACKOFF_SECONDS
+                emissions += self._try_next_lender(workspace, limiter, now)
             else:
                 self._schedule_tick(expires_at)
         return emissions
 
+    def _try_next_lender(
+        self, workspace: str, limiter: _WorkspaceLimiter, now: float
+    ) -> list[Emission]:
+        """Ask the next lender for the waiting operations.
+
+        The first one decides for all: if it has waited for two lenders, they wait for
+        no third one.
+        """
+        waiting = list(limiter.queue)[len(limiter.reservations) :]
+        if waiting and now - waiting[0].received_at >= 2 * GRANT_TIMEOUT_SECONDS:
+            return self._admit_without_lender(workspace, limiter, now)
+        return self._request_tokens(workspace, limiter, now)
+
     def _admit_reserved(self, limiter: _WorkspaceLimiter, now: float) -> list[Emission]:
         """Spend the reserved tokens that are valid by now."""
         emissions: list[Emission] = []
@@ -235,7 +269,11 @@
     ) -> list[Emission]:
         if limiter.pending_request is not None:
             return []
-        lenders = rank_candidates(workspace, self._coordinators)
+        lenders = [
+            name
+            for name in rank_candidates(workspace, self._coordinators)
+            if now >= self._silent_until.get(name, NEVER)
+        ]
         if not lenders:
             return self._admit_without_lender(workspace, limiter, now)
         n_waiting = limiter.n_waiting
@@ -246,7 +284,7 @@
         max_wait = max((_compute_max_wait(item, now) for item in waiting), default=0.0)
         self._n_requests += 1
         limiter.pending_request = _PendingTokenRequest(
-            self._n_requests, now, n_waiting, max_wait
+            self._n_requests, lenders[0], now, n_waiting
         )
         self._schedule_tick(now + GRANT_TIMEOUT_SECONDS)
         request = TokenRequest(
@@ -300,13 +338,8 @@
     ) -> list[Emission]:
         """Admit or refuse the queued operations without a lender."""
         plan = self._route_table.plans.get(workspace)
-        rate = 0.0 if plan is None else self._compute_fallback_rate(plan, limiter, now)
-        if limiter.fallback_updated_at > NEVER:
-            n_refilled = (now - limiter.fallback_updated_at) * rate
-            limiter.fallback_level = min(
-                max(1.0, rate), limiter.fallback_level + n_refilled
-            )
-        limiter.fallback_updated_at = now
+        if plan is not None:
+            self._refill_fallback(plan, limiter, now)
         emissions: list[Emission] = []
         while limiter.n_waiting and limiter.fallback_level >= 1.0:
             limiter.fallback_level -= 1.0
@@ -316,15 +349,34 @@
             emissions.append(self._refuse(refused, "no lender", GRANT_TIMEOUT_SECONDS))
         return emissions
 
-    def _compute_fallback_rate(
+    def _refill_fallback(
         self, plan: WorkspacePlan, limiter: _WorkspaceLimiter, now: float
-    ) -> float:
-        limit = plan.operations_per_second
-        if limit <= 0:
-            return 0.0
-        granted_share = min(1.0, limiter.granted_rate.estimate(now) / limit)
-        share = max(granted_share, 1.0 / self._n_instances)
-        return FALLBACK_FRACTION * share * limit
+    ) -> None:
+        """Add the tokens for admission without a lender that accrued.
+
+        All instances share a small number of first operations. If there are more
+        instances, those with the lowest hash of workspace and instance have one.
+        """
+        limits = compute_fallback_limits(plan, self._tolerance)
+        rate = max(
+            FALLBACK_FRACTION * limiter.granted_rate.estimate(now),
+            limits.rate / self._n_instances,
+        )
+        elapsed = now - limiter.fallback_updated_at
+        if elapsed > FALLBACK_RESET_SECONDS:
+            share = limits.n_first / self._n_instances
+            limiter.fallback_level = (
+                1.0 if self._compute_sample(plan.name) < share else 0.0
+            )
+        else:
+            level = limiter.fallback_level + elapsed * rate
+            limiter.fallback_level = min(max(1.0, rate), level)
+        limiter.fallback_updated_at = now
+
+    def _compute_sample(self, workspace: str) -> float:
+        """Return a number from 0 to 1 that differs between the instances."""
+        name = f"{workspace}\0{self._instance}"
+        return xxhash.xxh32_intdigest(name.encode()) / 2**32
 
     def _refuse(self, request: StatementRequest, reason: str, delay: float) -> Emission:
         result = StatementResult(
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sardinemill.errors import SettingsError
+from sardinemill.fleet.rate_tolerance import RateTolerance
 from sardinemill.groups import Address
 from sardinemill.platform.settings import parse_platform_settings
 
@@ -51,3 +52,17 @@
     assert settings.peer_address == Address("10.1.0.26", 7560)
     with pytest.raises(SettingsError, match="SARDINEMILL_ADVERTISED_PEER"):
         parse_platform_settings(TEXT, "nowhere")
+
+
+def test_tolerance_of_the_rate_limits():
+    """Guards against limits that are divided by another deployment's tolerance, and
+    against a fault in it that is noticed only under load.
+    """
+    assert parse_platform_settings(TEXT).rate_tolerance == RateTolerance()
+    text = TEXT + "bounds.quota_window_s=2\nbounds.quota_overshoot=0\n"
+    settings = parse_platform_settings(text + "bounds.quota_slack=5\n")
+    assert settings.rate_tolerance == RateTolerance(
+        window_seconds=2.0, fraction=0.0, n_operations=5.0
+    )
+    with pytest.raises(SettingsError, match="bounds.quota_slack=some"):
+        parse_platform_settings(TEXT + "bounds.quota_slack=some\n")
