--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -64,5 +64,5 @@
     assert settings.rate_tolerance == RateTolerance(
         window_seconds=2.0, fraction=0.0, n_operations=5.0
     )
-    with pytest.raises(SettingsError, match="bounds.quota_slack=some"):
+    with pytest.raises(SettingsError, match=r"bounds\.quota_slack=some"):
         parse_platform_settings(TEXT + "bounds.quota_slack=some\n")
