Read the record at once after a rejected write; ignore the age of copies that do not exist

Forcing a read of the record reset the time from which the wait counts, so an instance outside the coordinators waited another 0.85 s. A coordinator that has just started answers with the age of a copy that it does not have; the asker took the part as long out of date and read it itself, so a common restart still read everything.

Change: a forced read is due at once; an age that says 'never read' renews nothing. Tests: both failed before.

--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -20,6 +20,7 @@
 from .coordinator_membership import CoordinatorMembership
 from .known_positions import KnownPositions
 from .messages import (
+    MAX_AGE_SECONDS,
     ContactReport,
     FleetAnswer,
     FleetQuestion,
@@ -44,7 +45,13 @@
     StoreRequestFailed,
     WriteRecord,
 )
-from .store_reads import StoreReadScheduler, round_age
+from .store_reads import (
+    CONFIGURATION,
+    DIRECTORY,
+    RECORD,
+    StoreReadScheduler,
+    round_age,
+)
 from .views import (
     CoordinatorRoleChanged,
     DatabaseContact,
@@ -136,7 +143,7 @@
     def _handle_store_result(self, message: object, now: float) -> list[Emission]:
         emissions = self._record_store_available()
         if isinstance(message, RecordRead):
-            self._read_scheduler.record_success("record")
+            self._read_scheduler.record_success(RECORD)
             emissions += self._adopt_record(message.record, message.revision, now)
             if message.revision == self._revision and not message.may_be_stale:
                 emissions += self._confirm_by_store(message.asked_at)
@@ -149,16 +156,16 @@
                 emissions += self._confirm_by_store(message.asked_at)
             emissions += self._start_write(now)
         elif isinstance(message, DirectoryRead):
-            self._read_scheduler.record_success("directory")
+            self._read_scheduler.record_success(DIRECTORY)
             emissions += self._cache.adopt_directory(
                 message.directory, message.asked_at
             )
-            self._read_scheduler.record_current("directory", message.asked_at)
+            self._read_scheduler.record_current(DIRECTORY, message.asked_at)
         elif isinstance(message, ConfigurationRead):
-            self._read_scheduler.record_success("configuration")
+            self._read_scheduler.record_success(CONFIGURATION)
             if message.configuration is not None:
                 emissions += self._cache.adopt_configuration(message.configuration)
-                self._read_scheduler.record_current("configuration", message.asked_at)
+                self._read_scheduler.record_current(CONFIGURATION, message.asked_at)
         return emissions
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -214,7 +221,7 @@
             )
         if isinstance(message.request, WriteRecord):
             if self._writer.record_failure(message, now):
-                self._read_scheduler.force("record")
+                self._read_scheduler.force(RECORD)
                 emissions += self._read_store(now)
             return emissions
         self._read_scheduler.record_failure(message.request, now)
@@ -251,7 +258,7 @@
 
     def _confirm_by_store(self, at: float) -> list[Emission]:
         self._confirmed_by_store_at = max(self._confirmed_by_store_at, at)
-        self._read_scheduler.record_current("record", at)
+        self._read_scheduler.record_current(RECORD, at)
         return self._confirm(at)
 
     def _confirm(self, at: float) -> list[Emission]:
@@ -430,13 +437,11 @@
             if question.configuration_version < self._cache.configuration.version
             else None,
             configuration_version=self._cache.configuration.version,
-            configuration_age_seconds=self._read_scheduler.find_age(
-                "configuration", now
-            ),
+            configuration_age_seconds=self._read_scheduler.find_age(CONFIGURATION, now),
             directory=self._cache.directory
             if question.directory_digest != self._cache.digest
             else None,
-            directory_age_seconds=self._read_scheduler.find_age("directory", now),
+            directory_age_seconds=self._read_scheduler.find_age(DIRECTORY, now),
             positions=self._positions.make_reports(
                 now, since=timing.positions_synced_at
             )
@@ -483,17 +488,23 @@
         if answer.configuration is not None:
             emissions += self._cache.adopt_configuration(answer.configuration)
         if answer.configuration_version == self._cache.configuration.version:
-            current_at = asked_at - answer.configuration_age_seconds
-            self._read_scheduler.record_current("configuration", current_at)
+            self._record_current(
+                CONFIGURATION, asked_at, answer.configuration_age_seconds
+            )
         read_at = asked_at - answer.directory_age_seconds
         if answer.directory is not None:
             emissions += self._cache.adopt_directory(answer.directory, read_at)
         if answer.directory is None or answer.directory == self._cache.directory:
-            self._read_scheduler.record_current("directory", read_at)
+            self._record_current(DIRECTORY, asked_at, answer.directory_age_seconds)
         emissions += self._emit_positions(answer.positions, asked_at, now)
         self._writer.discard_superseded(self._revision)
         return emissions
 
+    def _record_current(self, kind: str, asked_at: float, age_seconds: float) -> None:
+        """Record how current another instance's copy of a part is, if it has one."""
+        if age_seconds < MAX_AGE_SECONDS:
+            self._read_scheduler.record_current(kind, asked_at - age_seconds)
+
     def _confirm_by_coordinators(self, now: float) -> list[Emission]:
         confirmations = dict(self._confirmations)
         if self._membership.is_coordinator(self._record):
--- a/src/sardinemill/fleet/store_reads.py
+++ b/src/sardinemill/fleet/store_reads.py
@@ -101,6 +101,7 @@
         self._reads = {kind: _ReadState() for kind in READ_SCHEDULES}
         self._started_at: float | None = None
         self._discovered_at: float | None = None
+        self._forced: set[str] = set()
         self.evidence_at: float = NEVER
 
     def list_due(
@@ -118,8 +119,10 @@
         due: list[StoreRequest] = []
         for kind, read in self._reads.items():
             due_at = self._find_due_at(kind, rank, self._started_at, now)
-            if read.is_in_progress or now < max(read.not_before, due_at):
+            is_due = kind in self._forced or now >= max(read.not_before, due_at)
+            if read.is_in_progress or not is_due:
                 continue
+            self._forced.discard(kind)
             read.is_in_progress = True
             # A read whose answer does not renew the part is not repeated at once.
             read.not_before = now + READ_SCHEDULES[kind].base_seconds
@@ -156,11 +159,7 @@
 
     def force(self, kind: str) -> None:
         """Make a read due immediately."""
-        self._reads[kind].not_before = NEVER
-        self._reads[kind].current_at = NEVER
-        if kind == RECORD:
-            self.evidence_at = NEVER
-            self._discovered_at = None
+        self._forced.add(kind)
 
     def record_success(self, kind: str) -> None:
         """Record that a read was answered."""
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -29,6 +29,7 @@
     StoreRequestFailed,
     WriteRecord,
 )
+from sardinemill.fleet.store_reads import RECORD, StoreReadScheduler
 from sardinemill.fleet.views import (
     DatabaseContact,
     FailoversInProgress,
@@ -271,6 +272,37 @@
     assert by_others == [ReadRecord(may_be_stale=True)] * len(others)
 
 
+def test_instances_of_a_restarted_fleet_wait_for_their_coordinators(network):
+    """Guards against a fleet that reads everything from the store because coordinators
+    that have just started themselves answer without data.
+    """
+    coordinators = set(network.coordinators)
+    network.requests.clear()
+    for number, name in enumerate(list(network.states)):
+        network.start(name, number, incarnation="2")
+    network.run(2)
+    assert set(network.synced_at) == set(network.states)
+    by_others = {
+        type(request) for name, request in network.requests if name not in coordinators
+    }
+    assert by_others == {ReadRecord}
+
+
+def test_record_is_read_at_once_after_a_rejected_write():
+    """Guards against an instance that learns only after most of a second that another
+    one has joined the coordinators before it.
+    """
+    scheduler = StoreReadScheduler(SeededRandom(1))
+    scheduler.list_due(None, 100.0)
+    scheduler.record_success(RECORD)
+    scheduler.record_current(RECORD, 100.0)
+    scheduler.evidence_at = 100.0
+    assert ReadRecord() not in scheduler.list_due(None, 100.1)
+    scheduler.force(RECORD)
+    assert ReadRecord() in scheduler.list_due(None, 100.2)
+    assert ReadRecord() not in scheduler.list_due(None, 100.3)
+
+
 def test_new_configuration_reaches_all_instances(network):
     """Guards against instances that keep an old configuration."""
     network.configuration = make_configuration(version=2)
