End sessions with their answer during a stop; one wait for tokens on all routes

The passes that close idle sessions are spread over 1.5 s each, so the last one ended 5.3 s after SIGTERM of 6 s; a session that was busy at the start of each pass stayed open, its next request was passed on at 30.348 s, ran, and the connection was closed at 30.430 s with no answer.

Change: after one spread pass each session is closed with the answer that leaves it idle; after 0.8 of the time-out also those in a transaction, and until 0.93 answers are awaited.

Now all operations wait for at most half of the tightest objective.

Tests: the drain, sessions on sockets, and equal shares of tight and loose objectives; the drain and the shares failed before.

--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -45,6 +45,7 @@
         self._sink = sink
         self._session_ids = itertools.count(1)
         self._sessions: dict[int, _SessionTask] = {}
+        self._is_ending = False
         self._server: asyncio.Server | None = None
 
     @property
@@ -63,7 +64,7 @@
         )
 
     async def drain(self) -> None:
-        """Do nothing: the owner ends the sessions by :meth:`close_idle`."""
+        """Do nothing: the owner ends the sessions."""
 
     async def stop(self) -> None:
         """Close the listener and all sessions."""
@@ -91,10 +92,20 @@
                 session.close()
             await asyncio.sleep(seconds / len(idle))
 
+    def end_sessions(self, *, with_transactions: bool = False) -> None:
+        """Close each session as soon as it is idle, and read no further request of it.
+
+        :param with_transactions: close also those in a transaction once their last
+            request is answered.
+        """
+        self._is_ending = True
+        for session in list(self._sessions.values()):
+            session.end(with_transactions=with_transactions)
+
     @property
-    def n_busy(self) -> int:
-        """Number of sessions in a transaction or with an unanswered request."""
-        return sum(not item.is_idle for item in self._sessions.values())
+    def n_unanswered(self) -> int:
+        """Number of sessions with an unanswered request."""
+        return sum(item.is_request_pending for item in self._sessions.values())
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -102,6 +113,8 @@
         session_id = next(self._session_ids)
         session = _SessionTask(session_id, reader, writer, self._sink)
         self._sessions[session_id] = session
+        if self._is_ending:
+            session.end()
         try:
             set_keep_alive(writer.get_extra_info("socket"))
             await session.run()
@@ -136,6 +149,13 @@
         ] = asyncio.Queue()
         self._state = SessionState.IDLE
         self._is_request_pending = True
+        self._is_ending = False
+        self._ends_in_transaction = False
+
+    @property
+    def is_request_pending(self) -> bool:
+        """Whether a request, or the opening of the session, is unanswered."""
+        return self._is_request_pending
 
     @property
     def is_idle(self) -> bool:
@@ -146,6 +166,22 @@
         """Close the connection once the buffered answers are sent."""
         self._writer.close()
 
+    def end(self, *, with_transactions: bool = False) -> None:
+        """Close the connection now if it is idle, or once it is.
+
+        :param with_transactions: a session without an unanswered request counts as
+            idle, also in a transaction.
+        """
+        self._is_ending = True
+        self._ends_in_transaction = with_transactions
+        if self._must_close():
+            self.close()
+
+    def _must_close(self) -> bool:
+        if not self._is_ending or self._is_request_pending:
+            return False
+        return self._ends_in_transaction or self._state is SessionState.IDLE
+
     def answer(
         self, message: SessionAccepted | SessionRefused | StatementAnswered
     ) -> None:
@@ -175,6 +211,8 @@
     async def _serve(self, peer: str) -> None:
         while True:
             self._is_request_pending = False
+            if self._must_close():
+                return
             line = await read_line(self._reader, peer)
             if line is None or line.kind == "BYE":
                 return
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -29,8 +29,11 @@
 
 # Fraction of the shutdown time-out in which open transactions may still complete.
 TRANSACTION_DRAIN_FRACTION = 0.5
-# Fraction of the shutdown time-out after which sessions that are still busy are closed.
+# Fraction of the shutdown time-out after which sessions in a transaction are closed.
 SESSION_DRAIN_FRACTION = 0.8
+# Fraction of the shutdown time-out until which answers are awaited. The rest is for the
+# stop of the other components.
+ANSWER_DRAIN_FRACTION = 0.93
 # The load balancer probes readiness once a second and stops sending new sessions after
 # two failed probes.
 BALANCER_REACTION_SECONDS = 2.2
@@ -44,16 +47,27 @@
 class ListenerComponent(OutletComponent, Protocol):
     """Listener for the sessions of clients.
 
-    :ivar n_busy: number of sessions in a transaction or with an unanswered request.
+    :ivar n_sessions: number of open sessions.
+    :ivar n_unanswered: number of sessions with an unanswered request.
     """
 
     @property
-    def n_busy(self) -> int: ...
+    def n_sessions(self) -> int: ...
 
     @property
-    def n_sessions(self) -> int: ...
+    def n_unanswered(self) -> int: ...
+
+    async def close_idle(self) -> None:
+        """Close the sessions that are idle, spread over some time."""
+        ...
 
-    async def close_idle(self) -> None: ...
+    def end_sessions(self, *, with_transactions: bool = False) -> None:
+        """Close each session as soon as it is idle, and read no further request of it.
+
+        :param with_transactions: close also those in a transaction once their last
+            request is answered.
+        """
+        ...
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -145,9 +159,11 @@
         """Announce the drain, then close sessions as they become idle.
 
         The first sessions are closed when the load balancer has noticed the drain, so
-        that clients reconnect to another instance, or after half of the time-out.
-        Returns once no session and no failover is left, or after
-        ``SESSION_DRAIN_FRACTION`` of the time-out.
+        that clients reconnect to another instance, or after half of the time-out. They
+        are spread over some time; after that each session is closed with the answer
+        that leaves it idle. Returns once no session and no failover is left. After
+        ``SESSION_DRAIN_FRACTION`` of the time-out it awaits only the answers to the
+        requests that were read, so that none is cut off.
         """
         started_at = self._clock.now()
         transactions_end_at = (
@@ -157,14 +173,16 @@
         await self._clock.sleep(
             min(BALANCER_REACTION_SECONDS, self.timeout_seconds / 2)
         )
+        await self._listener.close_idle()
+        self._listener.end_sessions()
         sessions_end_at = started_at + self.timeout_seconds * SESSION_DRAIN_FRACTION
-        while self._clock.now() < sessions_end_at:
-            await self._listener.close_idle()
-            if (
-                self._listener.n_sessions == 0
-                and self._running_failovers.n_failovers == 0
-            ):
-                return
+        while self._clock.now() < sessions_end_at and (
+            self._listener.n_sessions or self._running_failovers.n_failovers
+        ):
+            await self._clock.sleep(DRAIN_POLL_SECONDS)
+        self._listener.end_sessions(with_transactions=True)
+        answers_end_at = started_at + self.timeout_seconds * ANSWER_DRAIN_FRACTION
+        while self._clock.now() < answers_end_at and self._listener.n_unanswered:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -25,7 +25,7 @@
 from ..groups import rank_candidates
 from ..interfaces import Emission
 from .messages import Effect, ErrorCode, StatementRequest, StatementResult
-from .routes import EMPTY_ROUTE_TABLE, RoutesChanged, WorkspacePlan
+from .routes import EMPTY_ROUTE_TABLE, RoutesChanged, RouteTable, WorkspacePlan
 
 # Unspent tokens expire, so that they do not accumulate into a burst.
 TOKEN_LIFETIME_SECONDS = 1.0
@@ -47,8 +47,10 @@
 FALLBACK_FRACTION = 0.25
 # Instances that admitted nothing without a lender for this time start anew.
 FALLBACK_RESET_SECONDS = 5.0
-# An operation waits for a reserved token for at most this part of its route's latency
-# objective. The rest is left for the database.
+# An operation waits for a reserved token for at most this part of the tightest latency
+# objective of all routes. The rest is left for the database. If other routes waited
+# longer, their operations would reserve all tokens of a workspace before those with a
+# tight objective get one.
 MAX_WAIT_FRACTION = 0.5
 NEVER = float("-inf")
 
@@ -150,6 +152,7 @@
         self._instance = instance
         self._tolerance = tolerance
         self._silent_until: dict[str, float] = {}
+        self._max_wait_seconds = 0.0
         self._route_table = EMPTY_ROUTE_TABLE
         self._coordinators: tuple[str, ...] = ()
         self._n_instances = 1
@@ -172,6 +175,7 @@
             self._handle_result(message, now)
         elif isinstance(message, RoutesChanged):
             self._route_table = message.table
+            self._max_wait_seconds = _compute_max_wait(message.table)
         elif isinstance(message, ReachableCoordinatorsChanged):
             self._coordinators = message.names
             self._n_instances = max(1, message.n_instances)
@@ -243,7 +247,7 @@
             if limiter.level < self._compute_prefetch(limiter, now) / 2:
                 emissions += self._request_tokens(plan.name, limiter, now)
             return emissions
-        if now + _compute_max_wait(request, now) < limiter.next_token_at:
+        if now + self._find_max_wait(request, now) < limiter.next_token_at:
             return [self._refuse(request, "plan used up", limiter.next_token_at - now)]
         if len(limiter.queue) >= MAX_QUEUED_OPERATIONS:
             return [
@@ -281,7 +285,9 @@
         if n_tokens <= 0:
             return []
         waiting = list(limiter.queue)[len(limiter.reservations) :]
-        max_wait = max((_compute_max_wait(item, now) for item in waiting), default=0.0)
+        max_wait = max(
+            (self._find_max_wait(item, now) for item in waiting), default=0.0
+        )
         self._n_requests += 1
         limiter.pending_request = _PendingTokenRequest(
             self._n_requests, lenders[0], now, n_waiting
@@ -378,6 +384,12 @@
         name = f"{workspace}\0{self._instance}"
         return xxhash.xxh32_intdigest(name.encode()) / 2**32
 
+    def _find_max_wait(self, request: StatementRequest, now: float) -> float:
+        """Return how long an operation may still wait for a token, in seconds."""
+        if not request.route.target_seconds:
+            return 0.0
+        return max(0.0, self._max_wait_seconds - (now - request.received_at))
+
     def _refuse(self, request: StatementRequest, reason: str, delay: float) -> Emission:
         result = StatementResult(
             request=request,
@@ -387,7 +399,9 @@
         return Emission("result", result)
 
 
-def _compute_max_wait(request: StatementRequest, now: float) -> float:
-    """Return how long an operation may still wait for a token, in seconds."""
-    max_wait = MAX_WAIT_FRACTION * request.route.target_seconds
-    return max(0.0, max_wait - (now - request.received_at))
+def _compute_max_wait(table: RouteTable) -> float:
+    """Return how long operations may wait for a token, in seconds."""
+    targets = [
+        route.target_seconds for route in table.routes.values() if route.target_seconds
+    ]
+    return MAX_WAIT_FRACTION * min(targets, default=0.0)
--- a/tests/test_fleet_tokens.py
+++ b/tests/test_fleet_tokens.py
@@ -1,5 +1,7 @@
 """Lending and admission under the rate limit of a workspace, lower and upper bound."""
 
+from collections import Counter
+
 import pytest
 
 from sardinemill.control import PeerEnvelope
@@ -30,6 +32,7 @@
 )
 
 NAMES = ("a", "b", "c")
+TARGET_ROUTE = make_route("lookup", target_seconds=0.25)
 # Defined by the platform: window, fraction and number by which a limit may be exceeded.
 WINDOW_SECONDS = 5.0
 TOLERANCE_FRACTION = 0.1
@@ -44,7 +47,9 @@
         self.rate, self.burst = rate, burst
         self.lenders = {name: TokenLender(name) for name in NAMES}
         self.instances = [Admission(f"front-{number}") for number in range(n_instances)]
-        changed = make_routes_changed(rate=rate, burst=burst)
+        changed = make_routes_changed(
+            routes=(BOOKINGS_ROUTE, TARGET_ROUTE), rate=rate, burst=burst
+        )
         for lender in self.lenders.values():
             lender.handle(changed, self.now)
             lender.handle(make_confirmed(self.now), self.now)
@@ -242,9 +247,6 @@
     assert len(fleet.admitted) - n_before == 200
 
 
-TARGET_ROUTE = make_route("lookup", target_seconds=0.25)
-
-
 def make_single_instance(rate, burst):
     """Return a fleet of one instance whose lender's bucket is empty."""
     fleet = Fleet(n_instances=1, rate=rate, burst=burst)
@@ -417,3 +419,29 @@
         fleet.request(0)
         fleet.advance(1.0)
     assert len(fleet.admitted) - n_before >= 7
+
+
+def test_tight_and_loose_objectives_get_the_same_share_of_the_tokens():
+    """Guards against operations with a loose objective that reserve all tokens of a
+    busy workspace, while those with a tight one are refused.
+    """
+    tight = make_route("bookings", target_seconds=0.12)
+    loose = make_route("lookup", target_seconds=0.4)
+    fleet = MeasuredFleet(n_instances=14, rate=20.0, burst=20.0)
+    changed = make_routes_changed(routes=(tight, loose), rate=20.0, burst=20.0)
+    for part in (*fleet.lenders.values(), *fleet.instances):
+        part.handle(changed, fleet.now)
+    admitted = Counter()
+    handle = fleet._process
+
+    def process(index, emissions):
+        for request in select(emissions, "next", StatementRequest):
+            admitted[request.route.database] += 1
+        handle(index, emissions)
+
+    fleet._process = process
+    for number in range(900):
+        fleet.route = (tight, loose)[number % 2]
+        fleet.run(0.01, 100)
+    assert sum(admitted.values()) >= 0.9 * 20 * 9
+    assert min(admitted.values()) >= 0.8 * max(admitted.values())
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,125 @@
+"""Sessions of clients on real sockets while the instance stops."""
+
+import asyncio
+import contextlib
+
+from sardinemill.groups import Address
+from sardinemill.platform.clients import ClientListener
+from sardinemill.sessions.messages import (
+    SessionAccepted,
+    SessionOpened,
+    SessionState,
+    StatementAnswered,
+    StatementReceived,
+)
+
+
+class Sink:
+    """Accepts every session and keeps the statements for the test to answer."""
+
+    def __init__(self):
+        self.listener = None
+        self.statements = asyncio.Queue()
+
+    def offer(self, message):
+        if isinstance(message, SessionOpened):
+            self.listener.offer(SessionAccepted(message.session_id))
+        elif isinstance(message, StatementReceived):
+            self.statements.put_nowait(message)
+        return True
+
+
+@contextlib.asynccontextmanager
+async def run_listener():
+    """Yield a listener, its sink and a function that opens a session."""
+    sink, writers = Sink(), []
+    listener = ClientListener(Address("127.0.0.1", 0), sink)
+    sink.listener = listener
+    await listener.start()
+    port = listener._server.sockets[0].getsockname()[1]
+
+    async def connect():
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"START bookings key\r\n")
+        writers.append(writer)
+        assert await reader.readline() == b"READY I -\r\n"
+        return reader, writer
+
+    yield listener, sink, connect
+    for writer in writers:
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+    await listener.stop()
+    # The sessions' tasks still close their sockets.
+    await asyncio.sleep(0.05)
+
+
+async def send_statement(sink, writer, text=b"QUERY 1 READ a\r\n"):
+    """Send a statement and return it as the listener received it."""
+    writer.write(text)
+    return await sink.statements.get()
+
+
+def make_answer(statement, state=SessionState.IDLE):
+    """Return the answer to a statement."""
+    return StatementAnswered(statement.session_id, state)
+
+
+def test_ending_session_gets_its_answer_and_no_further_request_is_read():
+    """Guards against a request that is read and passed on while its session is closed:
+    its client gets no answer although the stop was planned.
+    """
+
+    async def run():
+        async with run_listener() as (listener, sink, connect):
+            idle_reader, _ = await connect()
+            reader, writer = await connect()
+            statement = await send_statement(sink, writer)
+            listener.end_sessions()
+            assert await idle_reader.read() == b""
+            assert listener.n_unanswered == 1
+            writer.write(b"QUERY 2 READ b\r\n")
+            listener.offer(make_answer(statement))
+            assert (
+                await reader.readuntil(b"READY I -\r\n") == b"DONE -\r\nREADY I -\r\n"
+            )
+            assert sink.statements.empty()
+            assert await reader.read() == b""
+            assert listener.n_unanswered == 0
+
+    asyncio.run(run())
+
+
+def test_transaction_goes_on_until_its_time_is_over():
+    """Guards against a stop that ends transactions which still have time, and against
+    one that waits for transactions of clients that send nothing.
+    """
+
+    async def run():
+        async with run_listener() as (listener, sink, connect):
+            reader, writer = await connect()
+            begin = await send_statement(sink, writer, b"QUERY 1 BEGIN\r\n")
+            listener.offer(make_answer(begin, SessionState.IN_TRANSACTION))
+            await reader.readuntil(b"READY T -\r\n")
+            listener.end_sessions()
+            read = await send_statement(sink, writer)
+            listener.offer(make_answer(read, SessionState.IN_TRANSACTION))
+            await reader.readuntil(b"READY T -\r\n")
+            listener.end_sessions(with_transactions=True)
+            assert await reader.read() == b""
+
+    asyncio.run(run())
+
+
+def test_session_that_opens_during_the_stop_is_closed_while_idle():
+    """Guards against a late session whose first request is cut off."""
+
+    async def run():
+        async with run_listener() as (listener, sink, connect):
+            listener.end_sessions()
+            reader, _ = await connect()
+            assert await reader.read() == b""
+            assert sink.statements.empty()
+
+    asyncio.run(run())
--- a/tests/test_session_composition.py
+++ b/tests/test_session_composition.py
@@ -5,7 +5,12 @@
 import aiohttp
 
 from sardinemill.fleet.views import InitialSyncCompleted, IsolationChanged
-from sardinemill.session_composition import IsolatedSessionCloser, Readiness
+from sardinemill.session_composition import (
+    GracefulSessionShutdown,
+    IsolatedSessionCloser,
+    Readiness,
+    RunningFailovers,
+)
 from session_cluster import make_document, run_in_cluster
 
 
@@ -282,3 +287,51 @@
         await session_closer.stop()
 
     asyncio.run(scenario())
+
+
+class DrainingListener(Listener):
+    """Listener with sessions whose end the test controls; records the calls."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.calls = []
+        self.n_sessions = 1
+        self.n_unanswered = 1
+        self._clock = clock
+
+    async def close_idle(self):
+        self.calls.append(("close idle", round(self._clock.seconds, 1)))
+        await self._clock.sleep(1.5)
+
+    def end_sessions(self, *, with_transactions=False):
+        at = round(self._clock.seconds, 1)
+        self.calls.append(("end", with_transactions, at))
+
+
+def test_stop_awaits_the_answers_of_requests_that_were_read():
+    """Guards against a planned stop that cuts off a request: sessions are ended before
+    the last part of the time-out, and answers are awaited in it.
+    """
+
+    async def scenario():
+        clock = ManualClock()
+        clock.now = lambda: clock.seconds
+        listener = DrainingListener(clock)
+        shutdown = GracefulSessionShutdown(
+            listener, RunningFailovers(), Readiness(), clock, 6.0
+        )
+        drain = asyncio.create_task(shutdown.drain())
+        await clock.advance(5.2)
+        names = [call[0] for call in listener.calls]
+        assert names == ["close idle", "end", "end"]
+        (_, _, first_at), (_, with_transactions, second_at) = listener.calls[1:]
+        assert first_at <= 4.0
+        assert with_transactions
+        assert 4.8 <= second_at <= 5.0
+        assert not drain.done()
+        listener.n_unanswered = 0
+        await clock.advance(0.3)
+        assert drain.done()
+        assert clock.seconds < 6.0
+
+    asyncio.run(scenario())
