--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -2,8 +2,9 @@
 
 An envelope is ``[version, type name, payload]``. Receivers reject other versions, so an
 incompatible change must increment ``WIRE_VERSION``. The questions and answers between
-the instances of a fleet, on its state and on tokens, make up nearly all traffic between
-data centres, so their payload is encoded as an array; all other payloads are maps.
+the instances of a fleet, on its state, on tokens and on statements that gateways run,
+make up nearly all traffic between data centres, so their payload is encoded as an
+array; all other payloads are maps.
 """
 
 import msgspec
@@ -13,6 +14,7 @@
 from .errors import CodecError
 from .fleet import messages as fleet_messages
 from .messages import Answer, Refusal
+from .sessions import gateway_messages
 
 WIRE_VERSION = 2
 
@@ -47,6 +49,8 @@
         fleet_messages.FleetQuestion,
         fleet_messages.TokenGrant,
         fleet_messages.TokenRequest,
+        gateway_messages.GatewayOutcome,
+        gateway_messages.GatewayStatement,
     )
 }
 
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -216,6 +216,9 @@
     COORDINATORS_CHANGED = EventKind(
         606, "info", "The set of coordinators of the fleet has changed."
     )
+    GATEWAYS_CHANGED = EventKind(
+        607, "info", "Another table says which instance is the gateway of a database."
+    )
 
     # 8xx stand-ins
     STAND_IN_STARTED = EventKind(801, "info", "A stand-in serves requests.")
--- a/src/sardinemill/fleet/messages.py
+++ b/src/sardinemill/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from ..groups import Address
 from ..sessions.routes import Configuration
+from .gateway_table import GatewayTable
 from .records import Directory, FleetRecord
 
 # Age that messages give for data that was never read.
@@ -68,6 +69,9 @@
     :param wants_positions: the answer shall contain positions; an instance exchanges
         them with one coordinator only.
     :param contacts: with primaries, since the last question.
+    :param gateway_capacity: relative processor capacity of a sender that accepts
+        forwarded statements, 0 if it accepts none.
+    :param gateways_digest: hash of the sender's table of gateways.
     """
 
     number: int
@@ -80,6 +84,8 @@
     wants_positions: bool = False
     positions: tuple[PositionReport, ...] = ()
     contacts: tuple[ContactReport, ...] = ()
+    gateway_capacity: int = 0
+    gateways_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,6 +107,7 @@
         recently.
     :param confirmed_age_seconds: time since the sender last had proof that no later
         record existed, from the store or from all coordinators.
+    :param gateways: sent with positions, unless the receiver has the same table.
     """
 
     number: int
@@ -116,6 +123,7 @@
     positions: tuple[PositionReport, ...] = ()
     n_instances: int = 1
     confirmed_age_seconds: float = MAX_AGE_SECONDS
+    gateways: GatewayTable | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/sardinemill/fleet/questions.py
+++ b/src/sardinemill/fleet/questions.py
@@ -4,11 +4,15 @@
 
 from ..groups import Address
 from ..members import InstanceInfo
+from .gateway_table import GatewayCandidate
 from .messages import FleetQuestion, Introduction
 
 # An instance that sent no question for this time no longer counts as part of the
 # fleet, and an answer that takes longer is discarded.
 PEER_TIMEOUT_SECONDS = 5.0
+# An instance that sent no question for this time is no gateway. Each coordinator is
+# asked every 0.8 s at least.
+GATEWAY_TIMEOUT_SECONDS = 2.0
 NEVER = float("-inf")
 
 
@@ -105,6 +109,7 @@
     :param wants_positions: of its last question.
     :param positions_synced_at: arrival of the last question whose answer with positions
         is known to have reached the peer.
+    :param gateway_capacity: of its last question.
     """
 
     introduction: Introduction
@@ -112,6 +117,7 @@
     received_at: float
     wants_positions: bool
     positions_synced_at: float
+    gateway_capacity: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +167,7 @@
             received_at=now,
             wants_positions=question.wants_positions,
             positions_synced_at=timing.positions_synced_at,
+            gateway_capacity=question.gateway_capacity,
         )
         if previous is None or previous.introduction != introduction:
             self.has_new_addresses = True
@@ -173,6 +180,21 @@
             for item in self._peers.values()
         )
 
+    def list_gateway_candidates(self, now: float) -> list[GatewayCandidate]:
+        """Return the instances that accept forwarded statements, by name."""
+        return [
+            GatewayCandidate(
+                instance=name,
+                data_centre=item.introduction.data_centre,
+                host=item.introduction.host,
+                port=item.introduction.port,
+                capacity=item.gateway_capacity,
+            )
+            for name, item in sorted(self._peers.items())
+            if item.gateway_capacity
+            and now - item.received_at < GATEWAY_TIMEOUT_SECONDS
+        ]
+
     def list_instances(self) -> list[InstanceInfo]:
         """Return the addresses of all known senders; reset ``has_new_addresses``."""
         self.has_new_addresses = False
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -14,10 +14,12 @@
 from ..groups import Address
 from ..interfaces import Emission, RandomSource
 from ..members import InstanceInfo, MembershipChanged
+from ..sessions.gateway_messages import PeerIntroduced
 from ..sessions.messages import DrainStarted
 from .configuration_cache import ConfigurationCache
 from .contact_log import ContactLog
 from .coordinator_membership import CoordinatorMembership
+from .gateway_table import GatewayAssignment, list_scarce_databases
 from .known_positions import KnownPositions
 from .messages import (
     MAX_AGE_SECONDS,
@@ -66,6 +68,9 @@
 )
 
 TICK_SECONDS = 0.1
+# How often a coordinator assigns gateways, about as often as questions arrive that show
+# which instances are there.
+GATEWAY_ASSIGNMENT_SECONDS = 0.4
 # An instance that has read everything but reached no coordinator becomes ready this
 # time after it learned which instances are coordinators.
 READY_WITHOUT_COORDINATOR_SECONDS = 2.0
@@ -81,8 +86,8 @@
     """Keeps the fleet record, configuration, directory and positions up to date.
 
     Outlets: ``store``, ``peers``, ``links``, ``routes``, ``directory``, ``record``,
-    ``positions``, ``contacts``, ``coordination``, ``coordinators``, ``known``,
-    ``isolation``, ``events``.
+    ``positions``, ``contacts``, ``coordination``, ``coordinators``, ``gateways``,
+    ``known``, ``isolation``, ``events``.
     """
 
     def __init__(self, identity: Identity, random: RandomSource) -> None:
@@ -102,6 +107,9 @@
         self._outgoing = OutgoingQuestions()
         self._incoming = IncomingQuestions()
         self._schedule = QuestionSchedule(identity)
+        self._gateways = GatewayAssignment()
+        self._next_assignment_at = NEVER
+        self._introduced_peers: dict[str, InstanceInfo] = {}
         self._leave_deadline: float | None = None
         self._n_failovers = 0
         self._linked_peers: tuple[InstanceInfo, ...] = ()
@@ -136,6 +144,8 @@
         if isinstance(message, DrainStarted):
             self._leave_deadline = now + MAX_LEAVE_DELAY_SECONDS
             return self._leave_coordinators(now)
+        if isinstance(message, PeerIntroduced):
+            return self._link_introduced(message.introduction)
         if isinstance(message, StoreRequestFailed):
             return self._handle_store_failure(message, now)
         return self._handle_store_result(message, now)
@@ -179,6 +189,7 @@
         if self._membership.is_coordinator(self._record):
             # A sole coordinator receives no answers that would trigger this.
             emissions += self._confirm_by_coordinators(now)
+            emissions += self._assign_gateways(now)
         emissions += self._leave_coordinators(now)
         if self._has_record:
             self._membership.schedule_join(self._record, now)
@@ -394,6 +405,8 @@
             wants_positions=with_positions,
             positions=positions,
             contacts=contacts,
+            gateway_capacity=self._find_gateway_capacity(),
+            gateways_digest=self._gateways.digest if with_positions else 0,
         )
         return Emission("peers", PeerEnvelope(peer=peer, message=question))
 
@@ -449,6 +462,10 @@
             else (),
             n_instances=self._n_active_instances,
             confirmed_age_seconds=round_age(self._confirmed_at, now),
+            gateways=self._gateways.table
+            if question.wants_positions
+            and question.gateways_digest != self._gateways.digest
+            else None,
         )
         emissions.append(Emission("peers", PeerEnvelope(peer=peer, message=answer)))
         if question.configuration_version > self._cache.configuration.version or (
@@ -497,6 +514,10 @@
         if answer.directory is None or answer.directory == self._cache.directory:
             self._record_current(DIRECTORY, asked_at, answer.directory_age_seconds)
         emissions += self._emit_positions(answer.positions, asked_at, now)
+        is_coordinator = self._membership.is_coordinator(self._record)
+        if answer.gateways is not None and not is_coordinator:
+            emissions += self._gateways.adopt(answer.gateways)
+            emissions += self._update_links()
         self._writer.discard_superseded(self._revision)
         return emissions
 
@@ -522,6 +543,34 @@
         )
         return [] if at is None else self._confirm(at)
 
+    # Gateways
+
+    def _find_gateway_capacity(self) -> int:
+        """Return the capacity to offer to other instances, 0 while it serves none."""
+        is_serving = self._is_synced and self._leave_deadline is None
+        return self._identity.gateway_capacity if is_serving else 0
+
+    def _assign_gateways(self, now: float) -> list[Emission]:
+        """Assign the gateways as a coordinator, if the fleet is large enough."""
+        if now < self._next_assignment_at:
+            return []
+        self._next_assignment_at = now + GATEWAY_ASSIGNMENT_SECONDS
+        databases = list_scarce_databases(
+            self._cache.directory,
+            dict(self._cache.configuration.max_connections),
+            self._n_active_instances,
+        )
+        candidates = self._incoming.list_gateway_candidates(now) if databases else []
+        coordinators = {item.name for item in self._record.coordinators}
+        emissions = self._gateways.update(databases, candidates, coordinators)
+        return [*emissions, *self._update_links()] if emissions else []
+
+    def _link_introduced(self, introduction: Introduction) -> list[Emission]:
+        self._introduced_peers[introduction.instance] = make_instance_info(
+            introduction.instance, introduction.data_centre, introduction.address
+        )
+        return self._update_links()
+
     # Other instances
 
     def _update_links(self) -> list[Emission]:
@@ -531,6 +580,11 @@
             )
             for item in self._record.coordinators
         }
+        peers |= {
+            item.instance: make_instance_info(item.instance, "", item.address)
+            for item in self._gateways.table.gateways
+        }
+        peers |= self._introduced_peers
         peers |= {item.name: item for item in self._incoming.list_instances()}
         peers.pop(self._identity.name, None)
         known = tuple(peers[name] for name in sorted(peers))
--- a/src/sardinemill/fleet/views.py
+++ b/src/sardinemill/fleet/views.py
@@ -13,12 +13,14 @@
 
     :param address: endpoint for messages of other instances.
     :param incarnation: differs between processes with the same name.
+    :param gateway_capacity: relative processor capacity, 0 to be no gateway.
     """
 
     name: str
     data_centre: str
     address: Address
     incarnation: str
+    gateway_capacity: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -47,6 +47,7 @@
         data_centre=settings.data_centre,
         address=settings.advertised_address,
         incarnation=incarnation,
+        gateway_capacity=settings.gateway_capacity,
     )
     probes = ProbeServer(
         settings.ready_address,
--- a/src/sardinemill/platform/settings.py
+++ b/src/sardinemill/platform/settings.py
@@ -31,7 +31,11 @@
     "bounds.quota_window_s": "5",
     "bounds.quota_overshoot": "0.1",
     "bounds.quota_slack": "20",
+    "limits.cpu_share": "1",
+    "limits.cores": "1",
 }
+# Unit in which instances state their processor capacity to each other, in cores.
+CAPACITY_UNIT_CORES = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,6 +53,7 @@
     :param leave_seconds: time within which a draining database must stop receiving
         new work.
     :param rate_tolerance: how far operations may exceed the plan of a workspace.
+    :param gateway_capacity: processor capacity in tenths of a core, at least 1.
     """
 
     instance: str
@@ -63,6 +68,7 @@
     stop_seconds: float
     leave_seconds: float
     rate_tolerance: RateTolerance = DEFAULT_TOLERANCE
+    gateway_capacity: int = 10
 
 
 def read_platform_settings(environment: Mapping[str, str]) -> PlatformSettings:
@@ -124,6 +130,7 @@
         raise SettingsError("\n".join(errors), step="settings")
     host = fields["ip"]
     peer_address = Address(host, int(ports[0]))
+    n_cores = numbers["limits.cpu_share"] * numbers["limits.cores"]
     return PlatformSettings(
         instance=fields["node"],
         data_centre=fields["zone"],
@@ -141,6 +148,7 @@
             fraction=numbers["bounds.quota_overshoot"],
             n_operations=numbers["bounds.quota_slack"],
         ),
+        gateway_capacity=max(1, round(n_cores / CAPACITY_UNIT_CORES)),
     )
 
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -23,6 +23,8 @@
 from .outlets import EnvelopeRouter, FanOut
 from .pipeline import Stage
 from .sessions.admission import Admission
+from .sessions.gateway import Gateway
+from .sessions.gateway_messages import GatewayOutcome, GatewayStatement
 from .sessions.manager import SessionManager
 from .sessions.messages import DrainStarted
 from .sessions.placement import Placement
@@ -258,8 +260,9 @@
         session_manager = self._make_stage("session manager", SessionManager())
         admission = self._make_stage("admission", Admission(identity.name, tolerance))
         placement = self._make_stage(
-            "placement", Placement(identity.data_centre, identity.name)
+            "placement", Placement(identity.data_centre, identity.name, identity)
         )
+        gateway = self._make_stage("gateway", Gateway())
         self.readiness = Readiness()
         observer = adapters.observer
         store = adapters.make_store(FanOut([state, observer]))
@@ -270,6 +273,8 @@
                     FleetAnswer: state,
                     TokenRequest: lending,
                     TokenGrant: admission,
+                    GatewayStatement: gateway,
+                    GatewayOutcome: placement,
                 }
             )
         )
@@ -291,6 +296,7 @@
                 "contacts": failover,
                 "coordination": failover,
                 "coordinators": FanOut([admission, placement]),
+                "gateways": placement,
                 "known": self.readiness,
                 "isolation": FanOut([self.readiness, session_closer]),
             }
@@ -319,10 +325,21 @@
             {
                 "connections": upstreams,
                 "result": FanOut([session_manager, admission, observer]),
+                "forwarded": gateway,
+                "peers": peers,
                 "seen": state,
             }
         )
-        stages = (state, failover, lending, session_manager, admission, placement)
+        gateway.bind({"next": placement, "peers": peers, "introductions": state})
+        stages = (
+            state,
+            failover,
+            lending,
+            session_manager,
+            admission,
+            placement,
+            gateway,
+        )
         for stage in stages:
             stage.bind({"events": adapters.events})
         drain_announcement = FanOut([self.readiness, failover, state, session_manager])
--- /dev/null
+++ b/src/sardinemill/sessions/gateway_messages.py
@@ -0,0 +1,84 @@
+"""Frozen messages between an instance and the gateway of a database."""
+
+from dataclasses import dataclass, field
+
+from ..fleet.messages import Introduction
+from ..positions import LogPosition
+from .messages import (
+    Effect,
+    ErrorCode,
+    PreparedStatement,
+    Statement,
+    StatementRequest,
+)
+
+# Between instances.
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayStatement:
+    """Statement outside a transaction, to run at one of the gateway's databases.
+
+    :param number: repeated in the outcome.
+    :param introduction: of the sender, to which the outcome is sent.
+    :param statement_id: the client's identifier, passed on unchanged.
+    :param session_variables: variables that the connection must have set.
+    :param minimum_position: log position that the database must have applied.
+    :param timeout_seconds: time left when the statement was sent. The gateway counts it
+        from the arrival.
+    """
+
+    number: int
+    introduction: Introduction
+    database: str
+    group: str
+    workspace: str
+    statement_id: str
+    statement: Statement
+    is_read_only: bool
+    priority: int
+    timeout_seconds: float
+    minimum_position: LogPosition | None = None
+    prepared: PreparedStatement | None = None
+    session_variables: tuple[tuple[str, str], ...] = field(default=(), repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayOutcome:
+    """Outcome of a :class:`GatewayStatement`.
+
+    :param is_answered: the database answered.
+    :param effect: of a statement that did not succeed.
+    :param position: of the database's log after the answer, if it reported one.
+    """
+
+    number: int
+    is_answered: bool
+    effect: Effect
+    code: ErrorCode | None = None
+    message: str = ""
+    signature: str | None = None
+    rows: tuple[str, ...] = field(default=(), repr=False)
+    position: LogPosition | None = None
+
+
+# Inside the gateway.
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayRequest:
+    """Forwarded statement on its way to the placement of the gateway.
+
+    :param database: chosen by the sender.
+    """
+
+    request: StatementRequest
+    database: str
+    minimum_position: LogPosition | None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIntroduced:
+    """Another instance has stated its address; messages for it can be sent there."""
+
+    introduction: Introduction
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -413,6 +413,7 @@
             "step": request.step.value,
             "is_read_only": request.is_read_only,
             "database": result.database,
+            "gateway": result.gateway,
             "after": "-"
             if result.minimum_position is None
             else str(result.minimum_position),
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -264,6 +264,7 @@
         no database was chosen for it.
     :param n_attempts: number of databases that were chosen for the statement; 0 if a
         filter refused it or its transaction already had a connection.
+    :param gateway: instance that the last attempt was forwarded to, ``""`` if none.
     """
 
     request: StatementRequest
@@ -279,6 +280,7 @@
     minimum_position: LogPosition | None = None
     evidence_age_seconds: float | None = None
     n_attempts: int = 0
+    gateway: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -3,13 +3,14 @@
 import math
 from collections.abc import Sequence
 
+from ..control import PeerEnvelope
 from ..events import Event, EventName
-from ..fleet.records import (
-    DatabaseEntry,
-)
+from ..fleet.gateway_table import GatewaysChanged
+from ..fleet.records import DatabaseEntry
 from ..fleet.views import (
     DatabaseContact,
     DirectoryChanged,
+    Identity,
     PositionSeen,
     ReachableCoordinatorsChanged,
     RecordConfirmed,
@@ -36,6 +37,8 @@
     plan_setup,
 )
 from .databases import DatabaseView
+from .gateway_client import Forward, GatewayClient
+from .gateway_messages import GatewayOutcome, GatewayRequest
 from .messages import (
     Dispatch,
     Effect,
@@ -59,6 +62,9 @@
 # Cost of opening a connection, in the unit of the costs in
 # :mod:`~sardinemill.sessions.databases`.
 NEW_CONNECTION_COST = 0.35
+# Fraction of a database's connection limit that its gateway may keep open. The rest is
+# for transactions, whose connections the other instances open themselves.
+GATEWAY_QUOTA_FRACTION = 0.5
 NEVER = float("-inf")
 
 
@@ -70,10 +76,15 @@
     :ivar minimum_position: log position that the database must have applied, ``None``
         on the primary.
     :ivar evidence_age_seconds: age of the evidence that chose the database.
+    :ivar gateway: instance that the current attempt was forwarded to, ``""`` if none.
+    :ivar is_forwarded: another instance forwarded it to this one, which makes a single
+        attempt.
     """
 
-    def __init__(self, request: StatementRequest) -> None:
+    def __init__(self, request: StatementRequest, is_forwarded: bool = False) -> None:
         self.request = request
+        self.is_forwarded = is_forwarded
+        self.gateway = ""
         self.tried: set[str] = set()
         self.n_attempts = 0
         self.is_on_primary = False
@@ -88,18 +99,29 @@
     be stale go to any database that has applied their minimum position, or else to the
     primary.
 
+    A statement outside a transaction goes through the gateway of its database, if there
+    is one, unless this instance has an idle connection for it.
+
     Outlets: ``connections`` (commands of
     :mod:`~sardinemill.sessions.connection_messages`), ``result``
-    (:class:`StatementResult`), ``seen`` (:class:`PositionSeen`,
-    :class:`DatabaseContact`), ``events``.
+    (:class:`StatementResult`), ``forwarded`` (:class:`StatementResult` of statements
+    from other instances), ``peers`` (:class:`GatewayStatement`), ``seen``
+    (:class:`PositionSeen`, :class:`DatabaseContact`), ``events``.
 
     :param data_centre: of this instance.
     :param instance: name of this instance.
+    :param identity: of this instance, for gateways; without one it uses none.
     """
 
-    def __init__(self, data_centre: str, instance: str = "") -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        instance: str = "",
+        identity: Identity | None = None,
+    ) -> None:
         self._databases = DatabaseView(data_centre, instance)
         self._pool = PoolState()
+        self._gateways = GatewayClient(identity)
         self._pending: dict[int, _PendingStatement] = {}
         self._full_until: dict[str, float] = {}
         self._next_maintenance_at = 0.0
@@ -114,6 +136,7 @@
         return min(
             self._next_maintenance_at,
             next_full_retry,
+            self._gateways.find_next_deadline(),
             math.inf if deadline is None else deadline,
         )
 
@@ -122,6 +145,12 @@
             return self._handle_request(message, now)
         if isinstance(message, StatementFinished):
             return self._handle_finished(message, now)
+        if isinstance(message, PeerEnvelope):
+            if isinstance(message.message, GatewayOutcome):
+                return self._handle_outcome(message.peer, message.message, now)
+            return ()
+        if isinstance(message, GatewayRequest):
+            return self._handle_forwarded(message, now)
         if isinstance(message, ConnectionOpened):
             return self._handle_opened(message, now)
         if isinstance(message, ConnectionFailed):
@@ -141,6 +170,8 @@
             self._route_table = message.table
         elif isinstance(message, ReachableCoordinatorsChanged):
             self._n_instances = max(1, message.n_instances)
+        elif isinstance(message, GatewaysChanged):
+            self._gateways.update(message.table)
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
@@ -153,6 +184,8 @@
                 now,
                 message="no connection was free",
             )
+        for forward in self._gateways.expire(now):
+            emissions += self._handle_silent_gateway(forward, now)
         for database, until in list(self._full_until.items()):
             if now >= until:
                 del self._full_until[database]
@@ -160,7 +193,7 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             quotas = {
-                item.name: self._compute_connection_quota(item.group)
+                item.name: self._compute_connection_quota(item)
                 for item in self._databases.directory.databases
             }
             for connection in self._pool.list_expired(quotas, now):
@@ -225,7 +258,7 @@
                 chosen = self._databases.choose_read_database(
                     group,
                     pending.tried,
-                    lambda entry: self._estimate_load(entry, request.workspace),
+                    lambda entry: self._estimate_load(entry, request.workspace, now),
                     now,
                 )
         if chosen is None and primary is not None and primary.name not in pending.tried:
@@ -252,20 +285,26 @@
             return self._databases.find_lease_evidence_age(now)
         return self._databases.find_position_age(pending.request.route.group, now)
 
-    def _estimate_load(self, entry: DatabaseEntry, workspace: str) -> float:
+    def _estimate_load(self, entry: DatabaseEntry, workspace: str, now: float) -> float:
         """Return the expected wait at a database, in units of one waiting statement."""
-        load = self._pool.count_statements(entry.name) / max(1, entry.n_slots)
-        if self._pool.find_idle(entry.name, workspace, ()) is None:
-            load += NEW_CONNECTION_COST
-        return load
+        n_statements = self._pool.count_statements(entry.name)
+        n_statements += self._gateways.count(entry.name)
+        load = n_statements / max(1, entry.n_slots)
+        has_connection = (
+            self._gateways.find(entry.name, now) is not None
+            or self._pool.find_idle(entry.name, workspace, ()) is not None
+        )
+        return load if has_connection else load + NEW_CONNECTION_COST
 
     # Choice of a connection
 
-    def _compute_connection_quota(self, group: str) -> float:
-        """Return the connections that this instance may keep open to each database."""
-        limit = self._route_table.max_connections.get(group)
+    def _compute_connection_quota(self, entry: DatabaseEntry) -> float:
+        """Return the connections that this instance may keep open to a database."""
+        limit = self._route_table.max_connections.get(entry.group)
         if limit is None:
             return DEFAULT_CONNECTION_QUOTA
+        if self._gateways.is_own(entry.name):
+            return limit * GATEWAY_QUOTA_FRACTION
         return limit * QUOTA_FRACTION / self._n_instances
 
     def _enqueue(
@@ -283,9 +322,24 @@
             minimum_position=pending.minimum_position,
             attempt_deadline=deadline,
         )
+        pending.gateway = self._find_gateway(request, entry.name, now) or ""
+        if pending.gateway:
+            message = self._gateways.start(dispatch, pending.gateway, now)
+            envelope = PeerEnvelope(peer=pending.gateway, message=message)
+            return [Emission("peers", envelope)]
         self._pool.enqueue(dispatch)
         return self._assign_connections(entry.name, now)
 
+    def _find_gateway(
+        self, request: StatementRequest, database: str, now: float
+    ) -> str | None:
+        """Return the instance to forward a statement to, ``None`` to run it here."""
+        if request.step is not TransactionStep.NONE:
+            return None
+        if self._pool.find_idle(database, request.workspace, ()) is not None:
+            return None
+        return self._gateways.find(database, now)
+
     def _assign_connections(self, database: str, now: float) -> list[Emission]:
         """Assign idle connections to queued statements and open missing ones."""
         emissions: list[Emission] = []
@@ -315,11 +369,12 @@
         entry = self._databases.find_entry(database, now)
         if entry is None:
             return emissions
-        if n_open >= max(1.0, self._compute_connection_quota(entry.group)):
+        quota = max(1.0, self._compute_connection_quota(entry))
+        if n_open >= quota:
             evicted = self._pool.find_evictable(database, workspace)
             if evicted is not None:
                 emissions.append(self._close_connection(evicted))
-            elif n_open >= OVER_QUOTA_LIMIT:
+            elif n_open >= max(quota, OVER_QUOTA_LIMIT):
                 return []
         connection = self._pool.add_connection(database, workspace, now)
         command = OpenConnection(connection.connection_id, entry, workspace)
@@ -408,40 +463,126 @@
         emissions += self._settle_connection(connection, message, request, now)
         if pending is None:
             return emissions
+        effect = _classify_effect(request, message)
+        return emissions + self._conclude_attempt(
+            pending, connection.database, message, effect, now
+        )
+
+    def _conclude_attempt(
+        self,
+        pending: _PendingStatement,
+        database: str,
+        message: StatementFinished,
+        effect: Effect,
+        now: float,
+    ) -> list[Emission]:
+        """Emit the result of a statement that succeeded, or end its attempt."""
+        request = pending.request
+        emissions: list[Emission] = []
         has_run = message.asked_at > 0 and message.failed_step is None
         if pending.is_on_primary and has_run and message.position is not None:
             emissions += self._emit_position(request, message)
-        if message.is_answered and message.code is None and has_run:
-            if self._is_late_write(request, connection.database, now):
-                return emissions + self._finish_attempt(
-                    request,
-                    connection.database,
-                    now,
-                    message="the primary may have been replaced meanwhile",
-                    effect=Effect.UNKNOWN,
-                )
-            del self._pending[request.request_id]
-            result = StatementResult(
-                request=request,
-                database=connection.database,
-                rows=message.rows,
-                signature=message.signature,
-                position=message.position,
-                asked_at=message.asked_at,
-                is_answered=True,
-                minimum_position=pending.minimum_position,
-                evidence_age_seconds=pending.evidence_age_seconds,
-                n_attempts=pending.n_attempts,
+        if not (message.is_answered and message.code is None and has_run):
+            return emissions + self._finish_attempt(
+                request,
+                database,
+                now,
+                code=message.code,
+                message=message.message,
+                is_answered=message.is_answered,
+                effect=effect,
+            )
+        # The sender of a forwarded write checks it when the outcome arrives, later.
+        if not pending.is_forwarded and self._is_late_write(request, database, now):
+            return emissions + self._finish_attempt(
+                request,
+                database,
+                now,
+                message="the primary may have been replaced meanwhile",
+                effect=Effect.UNKNOWN,
+            )
+        result = StatementResult(
+            request=request,
+            database=database,
+            rows=message.rows,
+            signature=message.signature,
+            position=message.position,
+            asked_at=message.asked_at,
+            is_answered=True,
+            minimum_position=pending.minimum_position,
+            evidence_age_seconds=pending.evidence_age_seconds,
+            n_attempts=pending.n_attempts,
+            gateway=pending.gateway,
+        )
+        return [*emissions, self._emit_result(pending, result)]
+
+    # Statements that pass through a gateway
+
+    def _handle_forwarded(self, message: GatewayRequest, now: float) -> list[Emission]:
+        """Queue a statement of another instance for one of this gateway's databases."""
+        request = message.request
+        pending = _PendingStatement(request, is_forwarded=True)
+        pending.n_attempts = MAX_ATTEMPTS
+        pending.minimum_position = message.minimum_position
+        self._pending[request.request_id] = pending
+        if self._databases.find_entry(message.database, now) is None:
+            return self._refuse(
+                pending, ErrorCode.BUSY, "the gateway does not know the database"
             )
-            return [*emissions, Emission("result", result)]
-        return emissions + self._finish_attempt(
+        dispatch = Dispatch(
+            request=request,
+            database=message.database,
+            minimum_position=message.minimum_position,
+            attempt_deadline=request.deadline,
+        )
+        self._pool.enqueue(dispatch)
+        return self._assign_connections(message.database, now)
+
+    def _handle_outcome(
+        self, gateway: str, outcome: GatewayOutcome, now: float
+    ) -> list[Emission]:
+        forward = self._gateways.finish(gateway, outcome.number)
+        if forward is None:
+            return []
+        request, database = forward.dispatch.request, forward.dispatch.database
+        pending = self._pending.get(request.request_id)
+        emissions: list[Emission] = []
+        has_run = outcome.is_answered or outcome.effect is not Effect.NOT_RUN
+        if outcome.is_answered:
+            emissions += self._emit_contact(database, now)
+        elif has_run:
+            self._databases.record_failure(database, now)
+        if pending is None:
+            return emissions
+        # The statement was sent to the database later, so the send time of the message
+        # errs towards older.
+        finished = StatementFinished(
+            connection_id=0,
+            is_answered=outcome.is_answered,
+            is_usable=True,
+            n_setup=0,
+            asked_at=forward.sent_at if has_run else 0.0,
+            rows=outcome.rows,
+            signature=outcome.signature,
+            code=outcome.code,
+            message=outcome.message,
+            position=outcome.position,
+        )
+        return emissions + self._conclude_attempt(
+            pending, database, finished, outcome.effect, now
+        )
+
+    def _handle_silent_gateway(self, forward: Forward, now: float) -> list[Emission]:
+        """End an attempt whose gateway gave no outcome; it may have run."""
+        request = forward.dispatch.request
+        is_write = not request.is_read_only
+        return self._finish_attempt(
             request,
-            connection.database,
+            forward.dispatch.database,
             now,
-            code=message.code,
-            message=message.message,
-            is_answered=message.is_answered,
-            effect=_classify_effect(request, message),
+            message=f"the gateway {forward.gateway} did not answer",
+            effect=Effect.UNKNOWN if is_write else Effect.ROLLED_BACK,
+            is_gateway_silent=True,
         )
 
     def _is_late_write(
@@ -522,9 +663,15 @@
     def _refuse(
         self, pending: _PendingStatement, code: ErrorCode, message: str
     ) -> list[Emission]:
-        self._pending.pop(pending.request.request_id, None)
         result = StatementResult(request=pending.request, code=code, message=message)
-        return [Emission("result", result)]
+        return [self._emit_result(pending, result)]
+
+    def _emit_result(
+        self, pending: _PendingStatement, result: StatementResult
+    ) -> Emission:
+        """Emit the final result of a statement, which is then no longer pending."""
+        self._pending.pop(pending.request.request_id, None)
+        return Emission("forwarded" if pending.is_forwarded else "result", result)
 
     def _finish_attempt(
         self,
@@ -536,19 +683,26 @@
         message: str = "",
         is_answered: bool = False,
         effect: Effect = Effect.NOT_RUN,
+        is_gateway_silent: bool = False,
     ) -> list[Emission]:
-        """Retry the statement at another database, or emit its final result."""
+        """Retry the statement at another database, or emit its final result.
+
+        :param is_gateway_silent: the gateway failed and not the database, which may be
+            tried again.
+        """
         pending = self._pending.get(request.request_id)
         if pending is None:
             return []
         if code is ErrorCode.STALE:
             self._databases.record_lag(database, now)
-        pending.tried.add(database)
+        if not is_gateway_silent:
+            pending.tried.add(database)
         if self._may_retry(pending, code, effect, now):
             fields = {
                 "request_id": request.statement_id,
                 "group": request.route.group,
                 "database": database,
+                "gateway": pending.gateway,
                 "code": None if code is None else code.value,
                 "effect": effect.value,
                 "reason": message,
@@ -559,7 +713,6 @@
             }
             event = Emission("events", Event(EventName.STATEMENT_RETRIED, fields))
             return [event, *self._choose_database(pending, now)]
-        del self._pending[request.request_id]
         if code is None and effect is Effect.NOT_RUN:
             code = ErrorCode.BUSY
             message = f"{message}; retry after 0.2 s"
@@ -573,8 +726,9 @@
             minimum_position=pending.minimum_position,
             evidence_age_seconds=pending.evidence_age_seconds,
             n_attempts=pending.n_attempts,
+            gateway=pending.gateway,
         )
-        return [Emission("result", result)]
+        return [self._emit_result(pending, result)]
 
     def _may_retry(
         self,
--- /dev/null
+++ b/tests/gateway_network.py
@@ -0,0 +1,183 @@
+"""Instances that forward statements to gateways, with a simulated network and time."""
+
+from collections import Counter
+
+from sardinemill.codecs import decode_message, encode_message
+from sardinemill.control import PeerEnvelope
+from sardinemill.fleet.gateway_table import Gateway as GatewayRow
+from sardinemill.fleet.gateway_table import GatewaysChanged, GatewayTable
+from sardinemill.fleet.views import (
+    Identity,
+    PositionSeen,
+    ReachableCoordinatorsChanged,
+)
+from sardinemill.groups import Address
+from sardinemill.positions import LogPosition
+from sardinemill.sessions.connection_messages import (
+    CloseConnection,
+    ConnectionOpened,
+    OpenConnection,
+    RunStatement,
+    StatementFinished,
+)
+from sardinemill.sessions.gateway import Gateway
+from sardinemill.sessions.messages import StatementResult
+from sardinemill.sessions.placement import Placement
+from session_builders import make_confirmed, make_directory, make_routes_changed
+
+START = 100.0
+POSITION = LogPosition(3, 1207)
+N_INSTANCES = 195
+
+
+def make_table(gateways):
+    """Return the message that announces the gateway of each database."""
+    rows = tuple(
+        GatewayRow(instance=name, host="10.0.0.9", port=7000, databases=(database,))
+        for database, name in gateways.items()
+    )
+    return GatewaysChanged(GatewayTable(gateways=rows))
+
+
+class Instance:
+    """Placement and gateway of one instance."""
+
+    def __init__(self, name, incarnation="1"):
+        identity = Identity(
+            name=name,
+            data_centre="x",
+            address=Address("10.0.0.1", 7000),
+            incarnation=incarnation,
+        )
+        self.name = name
+        self.placement = Placement("x", name, identity)
+        self.gateway = Gateway()
+        self.results = []
+        self.positions = []
+        self.runs = []
+        self.n_opened = 0
+
+
+class GatewayNetwork:
+    """Instances before the databases p, r1 and r2 of one group.
+
+    Databases answer at once unless ``holds_answers`` is set. Messages between instances
+    pass the codec; those that ``drops`` returns true for are lost.
+
+    :param gateways: instance by database.
+    """
+
+    def __init__(self, names, gateways, drops=lambda sender, message: False):
+        self.now = START
+        self.drops = drops
+        self.holds_answers = False
+        self.instances = {name: Instance(name) for name in names}
+        self.n_messages = Counter()
+        self.executed = []
+        self._gateways = gateways
+        for instance in self.instances.values():
+            self._introduce(instance)
+        self.confirm()
+
+    def restart(self, name):
+        """Replace the process of an instance."""
+        self.instances[name] = Instance(name, incarnation="2")
+        self._introduce(self.instances[name])
+        self.confirm()
+
+    def _introduce(self, instance):
+        for message in (
+            make_routes_changed(),
+            make_directory(),
+            ReachableCoordinatorsChanged((), N_INSTANCES),
+            PositionSeen("g", POSITION, self.now),
+            make_table(self._gateways),
+        ):
+            instance.placement.handle(message, self.now)
+
+    def confirm(self):
+        """Renew the primary leases of all instances."""
+        for instance in self.instances.values():
+            instance.placement.handle(make_confirmed(self.now), self.now)
+
+    def announce(self, gateways):
+        """Announce another table of gateways to all instances."""
+        for instance in self.instances.values():
+            instance.placement.handle(make_table(gateways), self.now)
+
+    def request(self, name, request):
+        """Hand a client's statement to an instance.
+
+        :returns: the results that the instance has emitted since its start.
+        """
+        instance = self.instances[name]
+        self.process(instance, instance.placement.handle(request, self.now))
+        return instance.results
+
+    def advance(self, seconds):
+        """Advance the time in steps of 10 ms."""
+        for _ in range(round(seconds * 100)):
+            self.now = round(self.now + 0.01, 3)
+            for instance in self.instances.values():
+                if instance.placement.next_tick <= self.now:
+                    self.process(instance, instance.placement.tick(self.now))
+
+    def process(self, instance, emissions):
+        """Process what an instance emits."""
+        for item in emissions:
+            message = item.message
+            if item.outlet == "connections":
+                self.handle_command(instance, message)
+            elif item.outlet == "next":
+                self.process(instance, instance.placement.handle(message, self.now))
+            elif item.outlet == "forwarded":
+                self.process(instance, instance.gateway.handle(message, self.now))
+            elif item.outlet == "peers":
+                self.send(instance.name, message)
+            elif isinstance(message, StatementResult):
+                instance.results.append(message)
+            elif isinstance(message, PositionSeen):
+                instance.positions.append(message)
+
+    def send(self, sender, envelope):
+        """Deliver a message between instances unless it is lost."""
+        kind = type(envelope.message).__name__
+        self.n_messages[kind] += 1
+        receiver = self.instances.get(envelope.peer)
+        if receiver is None or self.drops(sender, envelope.message):
+            return
+        message = decode_message(encode_message(envelope.message), sender)
+        received = PeerEnvelope(peer=sender, message=message)
+        is_statement = kind == "GatewayStatement"
+        target = receiver.gateway if is_statement else receiver.placement
+        self.process(receiver, target.handle(received, self.now))
+
+    def handle_command(self, instance, command):
+        """Act as the connections of an instance."""
+        if isinstance(command, OpenConnection):
+            instance.n_opened += 1
+            opened = ConnectionOpened(command.connection_id, POSITION, self.now)
+            self.process(instance, instance.placement.handle(opened, self.now))
+        elif isinstance(command, RunStatement):
+            self.executed.append(command.dispatch.request.statement_id)
+            instance.runs.append(command)
+            if not self.holds_answers:
+                self.answer(instance, command)
+        else:
+            assert isinstance(command, CloseConnection)
+
+    def answer(self, instance, run, **fields):
+        """Answer a statement for the database."""
+        request = run.dispatch.request
+        finished = StatementFinished(
+            connection_id=run.connection_id,
+            is_answered=fields.pop("is_answered", True),
+            is_usable=fields.pop("is_usable", True),
+            n_setup=fields.pop("n_setup", len(run.setup)),
+            asked_at=fields.pop("asked_at", self.now),
+            rows=fields.pop("rows", (f"row of {request.statement_id}",)),
+            signature=fields.pop("signature", f"p.{request.statement_id}"),
+            position=fields.pop("position", LogPosition(3, 1300)),
+            **fields,
+        )
+        self.process(instance, instance.placement.handle(finished, self.now))
--- a/tests/session_cluster.py
+++ b/tests/session_cluster.py
@@ -23,8 +23,11 @@
         return probe.getsockname()[1]
 
 
-def make_document(version=1, keys=(KEY,), rate=500):
-    """Return a configuration document with one route of each kind."""
+def make_document(version=1, keys=(KEY,), rate=500, n_connections=49):
+    """Return a configuration document with one route of each kind.
+
+    :param n_connections: connection limit of each database.
+    """
     kinds = {
         "bookings": ("primary", 0),
         "status": ("bounded", 1500),
@@ -45,7 +48,7 @@
             }
             for host, (kind, staleness_ms) in kinds.items()
         ],
-        "services": [{"name": "g", "max_connections": 49}],
+        "services": [{"name": "g", "max_connections": n_connections}],
         "limits": {"transaction_idle_ms": 3000},
         "tenants": [
             {
@@ -95,9 +98,13 @@
 
 
 class SessionCluster:
-    """Three databases, a store and instances in one process."""
+    """Three databases, a store and instances in one process.
+
+    :param n_connections: connection limit of each database.
+    """
 
-    def __init__(self, n_instances=2):
+    def __init__(self, n_instances=2, n_connections=49):
+        self._n_connections = n_connections
         self.databases = {
             name: LineProtocolDatabase(name, "g", is_primary=name == "p")
             for name in ("p", "r1", "r2")
@@ -130,7 +137,8 @@
             await database.start()
             self.register_database(database)
         self.store.put("servers", "malformed", {"service": 7})
-        self.store.put("config", "main", make_document())
+        document = make_document(n_connections=self._n_connections)
+        self.store.put("config", "main", document)
         for number in range(self._n_instances):
             await self.start_instance(f"i{number}")
         for name in self.instances:
@@ -218,11 +226,11 @@
             await asyncio.sleep(0.1)
 
 
-def run_in_cluster(scenario, n_instances=2):
+def run_in_cluster(scenario, n_instances=2, n_connections=49):
     """Run a scenario on a new cluster."""
 
     async def run():
-        cluster = SessionCluster(n_instances)
+        cluster = SessionCluster(n_instances, n_connections)
         await cluster.start()
         try:
             await scenario(cluster)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -7,7 +7,8 @@
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import PeerEnvelope
 from sardinemill.fleet.coordinator_membership import CoordinatorMembership
-from sardinemill.fleet.messages import FleetQuestion
+from sardinemill.fleet.gateway_table import GatewaysChanged
+from sardinemill.fleet.messages import FleetAnswer, FleetQuestion
 from sardinemill.fleet.primary_lease import (
     ESTABLISHMENT_DELAY_SECONDS,
     MAX_COORDINATOR_LIST_AGE_SECONDS,
@@ -75,6 +76,7 @@
         self.sent = []
         self.joined_at = {}
         self.isolation = {}
+        self.gateways = {}
         for number, name in enumerate(names):
             self.start(name, number)
 
@@ -85,6 +87,7 @@
             data_centre="xyz"[ord(name) % 3],
             address=Address("10.0.0.1", 7000),
             incarnation=incarnation,
+            gateway_capacity=5,
         )
         self.states[name] = FleetState(identity, SeededRandom(seed))
         self.confirmed[name] = None
@@ -134,6 +137,8 @@
                 self.isolation[name] = message.is_isolated
             elif isinstance(message, PositionSeen):
                 self.positions[name] = message
+            elif isinstance(message, GatewaysChanged):
+                self.gateways[name] = message.table
 
     def call_store(self, name, request):
         """Answer a request to the store."""
@@ -759,3 +764,70 @@
     network.store_cut |= set("abcdef")
     network.run(MAX_COORDINATOR_LIST_AGE_SECONDS + 5)
     assert network.isolation == {}
+
+
+@pytest.fixture
+def scarce_network():
+    """Nine instances, before databases that accept six connections each."""
+    started = Network("abcdefghi")
+    started.configuration = replace(started.configuration, max_connections=(("g", 6),))
+    started.run(6)
+    return started
+
+
+def list_gateways(network, name):
+    """Return the gateways in the table that an instance uses."""
+    return {item.instance for item in network.gateways[name].gateways}
+
+
+def test_all_instances_use_the_same_gateways(scarce_network):
+    """Guards against instances that use different gateways for one database, which
+    shares its connections less.
+    """
+    tables = {scarce_network.gateways[name] for name in scarce_network.states}
+    assert len(tables) == 1
+    (table,) = tables
+    assert sorted(name for item in table.gateways for name in item.databases) == [
+        "p",
+        "r1",
+        "r2",
+    ]
+    assert not list_gateways(scarce_network, "a") & set(scarce_network.coordinators)
+
+
+def test_table_of_gateways_is_sent_only_when_it_changes(scarce_network):
+    """Guards against a table of a thousand bytes in each answer."""
+    scarce_network.sent.clear()
+    scarce_network.run(3)
+    answers = [
+        message
+        for *_, message in scarce_network.sent
+        if isinstance(message, FleetAnswer)
+    ]
+    assert answers
+    assert all(answer.gateways is None for answer in answers)
+
+
+def test_draining_gateway_is_replaced_before_it_stops(scarce_network):
+    """Guards against statements that are in doubt because their gateway stops. It
+    drains for 2.2 s at least.
+    """
+    name = min(list_gateways(scarce_network, "a"))
+    scarce_network.deliver(name, DrainStarted(scarce_network.now + 3))
+    scarce_network.run(1.6)
+    for other in scarce_network.states:
+        assert name not in list_gateways(scarce_network, other)
+
+
+def test_lost_gateway_is_replaced(scarce_network):
+    """Guards against statements that wait for an instance that is gone."""
+    name = min(list_gateways(scarce_network, "a"))
+    scarce_network.stop(name)
+    scarce_network.run(3.2)
+    for other in scarce_network.states:
+        assert name not in list_gateways(scarce_network, other)
+
+
+def test_small_fleet_uses_no_gateways(network):
+    """Guards against a hop for each statement where instances keep connections."""
+    assert network.gateways == {}
--- /dev/null
+++ b/tests/test_gateways.py
@@ -0,0 +1,374 @@
+"""Statements that pass through the gateway of their database."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gateway_network import POSITION, START, GatewayNetwork
+from sardinemill.fleet.primary_lease import PRIMARY_LEASE_SECONDS
+from sardinemill.positions import LogPosition
+from sardinemill.sessions.connections import SetupStep
+from sardinemill.sessions.gateway_messages import GatewayOutcome, GatewayStatement
+from sardinemill.sessions.messages import (
+    Effect,
+    ErrorCode,
+    PreparedStatement,
+    Statement,
+    StatementKind,
+    TransactionStep,
+)
+from session_builders import (
+    BOOKINGS_ROUTE,
+    LOGS_ROUTE,
+    READ,
+    WRITE,
+    make_statement_request,
+)
+
+GATEWAYS = {"p": "gp", "r1": "g1", "r2": "g2"}
+NAMES = ("e0", "e1", "gp", "g1", "g2")
+
+
+def make_network(**fields):
+    """Return two entries and a gateway for each database."""
+    return GatewayNetwork(NAMES, GATEWAYS, **fields)
+
+
+def make_write(number=1, **fields):
+    """Return a write outside a transaction."""
+    return make_statement_request(number, WRITE, BOOKINGS_ROUTE, **fields)
+
+
+def drop_statements(sender, message):
+    """Lose each forwarded statement on its way."""
+    return isinstance(message, GatewayStatement)
+
+
+def drop_outcomes(sender, message):
+    """Lose each outcome on its way."""
+    return isinstance(message, GatewayOutcome)
+
+
+def test_statement_runs_on_a_connection_of_the_gateway():
+    """Guards against a lost field of a forwarded statement or of its outcome."""
+    network = make_network()
+    prepared = PreparedStatement("q2c", False)
+    execute = Statement(StatementKind.EXECUTE, "s1", "1a4 data")
+    request = make_statement_request(
+        7,
+        execute,
+        BOOKINGS_ROUTE,
+        prepared=prepared,
+        session_variables=(("zone", "a"),),
+    )
+    (result,) = network.request("e0", request)
+    (run,) = network.instances["gp"].runs
+    assert run.dispatch.request.statement == execute
+    assert run.dispatch.request.statement_id == request.statement_id
+    assert run.dispatch.request.workspace == request.workspace
+    assert run.setup == (
+        SetupStep(Statement(StatementKind.SET, "zone", "a")),
+        SetupStep(Statement(StatementKind.PREPARE, "", "q2c", False), prepared),
+    )
+    assert (result.rows, result.signature) == (
+        (f"row of {request.statement_id}",),
+        f"p.{request.statement_id}",
+    )
+    assert (result.database, result.gateway, result.code) == ("p", "gp", None)
+    assert network.instances["gp"].results == []
+
+
+def test_hundreds_of_instances_share_the_connections_of_a_gateway():
+    """Replays the calm load of a large fleet: 195 instances send one statement each to
+    a database, for 14 workspaces. Guards against a new connection for each statement,
+    which occupies a slot of the database as long as its work.
+    """
+    entries = [f"e{number:03}" for number in range(195)]
+
+    def count_opened(gateways):
+        network = GatewayNetwork([*entries, "gp", "g1", "g2"], gateways)
+        for number, name in enumerate(entries):
+            workspace = f"w{number % 14}"
+            network.request(name, make_write(number, workspace=workspace))
+            network.advance(0.01)
+            network.confirm()
+        assert all(len(network.instances[name].results) == 1 for name in entries)
+        return sum(item.n_opened for item in network.instances.values())
+
+    assert count_opened({}) == 195
+    assert count_opened(GATEWAYS) == 14
+
+
+def test_position_counts_from_the_time_at_which_the_entry_sent_the_statement():
+    """Guards against a position that looks newer than it is, by which a replica read
+    would miss a commit older than its bound.
+    """
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write())
+    network.advance(0.2)
+    gateway = network.instances["gp"]
+    network.answer(gateway, gateway.runs[0])
+    (seen,) = network.instances["e0"].positions
+    assert (seen.position, seen.seen_at) == (LogPosition(3, 1300), START)
+    assert gateway.positions == []
+
+
+def test_replica_read_keeps_its_minimum_position():
+    """Guards against a read that misses a commit since its session wrote."""
+    network = make_network()
+    own = LogPosition(3, 1299)
+    request = make_statement_request(1, READ, LOGS_ROUTE, minimum_position=own)
+    network.request("e0", request)
+    runs = network.instances["g1"].runs + network.instances["g2"].runs
+    assert [run.dispatch.minimum_position for run in runs] == [own]
+    assert max(own, POSITION) == own
+
+
+def test_transactions_open_connections_of_their_own():
+    """Guards against a transaction whose statements run on different connections."""
+    network = make_network()
+    network.request("e0", make_write(1, step=TransactionStep.FIRST, session_id=7))
+    assert network.n_messages == {}
+    assert network.instances["e0"].n_opened == 1
+
+
+def test_gateway_and_instances_without_one_use_their_own_connections():
+    """Guards against a gateway that forwards to itself."""
+    network = make_network()
+    assert network.request("gp", make_write())[0].gateway == ""
+    assert network.n_messages == {}
+
+
+def test_read_is_repeated_without_a_silent_gateway():
+    """Guards against reads that are lost with their gateway, and against waiting for it
+    again and again.
+    """
+    network = make_network(drops=drop_statements)
+    read = make_statement_request(1, READ, BOOKINGS_ROUTE)
+    network.request("e0", read)
+    network.advance(0.41)
+    (result,) = network.instances["e0"].results
+    assert (result.code, result.gateway, result.database) == (None, "", "p")
+    network.confirm()
+    request = make_statement_request(2, READ, BOOKINGS_ROUTE, received_at=network.now)
+    assert len(network.request("e0", request)) == 2
+    assert network.n_messages["GatewayStatement"] == 1
+
+
+def test_write_without_an_outcome_is_in_doubt_and_runs_at_most_once():
+    """Guards against a write that runs twice, or that is said not to have run although
+    it has: the outcome is lost.
+    """
+    network = make_network(drops=drop_outcomes)
+    network.request("e0", make_write())
+    for _ in range(5):
+        network.advance(0.25)
+        network.confirm()
+    (result,) = network.instances["e0"].results
+    assert (result.code, result.is_answered, result.effect) == (
+        None,
+        False,
+        Effect.UNKNOWN,
+    )
+    assert len(network.executed) == 1
+
+
+def test_late_outcome_changes_nothing():
+    """Guards against an answer to a client that already got one."""
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write())
+    # The gateway's own timer does not run while it is suspended.
+    gateway = network.instances.pop("gp")
+    network.advance(1.1)
+    network.confirm()
+    network.instances["gp"] = gateway
+    network.answer(gateway, gateway.runs[0])
+    (result,) = network.instances["e0"].results
+    assert result.effect is Effect.UNKNOWN
+
+
+def test_outcome_for_an_earlier_process_is_ignored():
+    """Guards against the answer of another client's statement: the entry restarts while
+    its gateway runs a statement, and the new process forwards one as well.
+    """
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write(1))
+    network.restart("e0")
+    network.request("e0", make_write(2))
+    gateway = network.instances["gp"]
+    network.answer(gateway, gateway.runs[0])
+    assert network.instances["e0"].results == []
+    network.answer(gateway, gateway.runs[1])
+    (result,) = network.instances["e0"].results
+    assert result.rows == (f"row of {result.request.statement_id}",)
+
+
+def test_gateway_that_answered_stays_in_use():
+    """Guards against a gateway that counts as silent although it has answered."""
+    network = make_network()
+    network.request("e0", make_write(1))
+    network.advance(1.1)
+    network.confirm()
+    network.request("e0", make_write(2, received_at=network.now))
+    results = network.instances["e0"].results
+    assert [result.gateway for result in results] == ["gp", "gp"]
+
+
+def test_refusal_of_the_database_is_certain():
+    """Guards against a write in doubt although the database has refused it."""
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write())
+    gateway = network.instances["gp"]
+    refused = {"code": ErrorCode.BUSY, "rows": (), "signature": None, "position": None}
+    network.answer(gateway, gateway.runs[0], **refused)
+    (result,) = network.instances["e0"].results
+    assert (result.code, result.effect) == (ErrorCode.BUSY, Effect.NOT_RUN)
+
+
+def test_database_that_does_not_answer_leaves_a_write_in_doubt():
+    """Guards against a write that is said not to have run although it may have."""
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write())
+    gateway = network.instances["gp"]
+    lost = {"rows": (), "signature": None, "position": None, "is_usable": False}
+    network.answer(gateway, gateway.runs[0], is_answered=False, **lost)
+    (result,) = network.instances["e0"].results
+    assert (result.code, result.effect) == (None, Effect.UNKNOWN)
+
+
+def test_write_whose_outcome_arrives_after_the_lease_ended_is_in_doubt():
+    """Guards against acknowledging a write of a primary that may have been replaced,
+    although the gateway still holds its lease.
+    """
+    network = make_network()
+    network.holds_answers = True
+    late = START + PRIMARY_LEASE_SECONDS + 0.5
+    network.request("e0", make_write(deadline=late + 1))
+    network.advance(late - START)
+    gateway = network.instances["gp"]
+    network.answer(gateway, gateway.runs[0])
+    (result,) = network.instances["e0"].results
+    assert (result.code, result.is_answered, result.effect) == (
+        None,
+        False,
+        Effect.UNKNOWN,
+    )
+
+
+def test_gateway_reports_its_own_time_out_before_it_counts_as_silent():
+    """Guards against direct connections to a slow database because its gateway is
+    taken for silent.
+    """
+    network = make_network()
+    network.holds_answers = True
+    write = make_write()
+    network.request("e0", write)
+    (run,) = network.instances["gp"].runs
+    assert run.dispatch.attempt_deadline < write.deadline
+
+
+def test_overload_refusal_of_a_gateway_is_not_run(monkeypatch):
+    """Guards against queues without a bound at a gateway."""
+    monkeypatch.setattr("sardinemill.sessions.gateway.MAX_FORWARDED_STATEMENTS", 1)
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write(1))
+    (result,) = network.request("e1", make_write(2))
+    assert (result.code, result.effect) == (ErrorCode.BUSY, Effect.NOT_RUN)
+    assert len(network.executed) == 1
+
+
+def test_gateway_that_moves_completes_what_it_was_sent():
+    """Guards against statements that are lost when another instance becomes gateway."""
+    network = make_network()
+    network.holds_answers = True
+    network.request("e0", make_write(1))
+    network.announce({**GATEWAYS, "p": "g1"})
+    network.request("e0", make_write(2))
+    old, new = network.instances["gp"], network.instances["g1"]
+    assert (len(old.runs), len(new.runs)) == (1, 1)
+    network.answer(old, old.runs[0])
+    network.answer(new, new.runs[0])
+    results = network.instances["e0"].results
+    assert [result.code for result in results] == [None, None]
+
+
+FAULTS = st.sampled_from(("none", "lose statement", "lose outcome", "suspend"))
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("e0", "e1", "gp")),
+        st.booleans(),
+        FAULTS,
+        st.sampled_from(("answer", "refuse", "no answer", "late")),
+        st.sampled_from(("gp", "g1", "e0")),
+    ),
+    max_size=12,
+)
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(STEPS)
+def test_outcomes_are_true_under_faults(steps):
+    """Drives entries and gateways through lost messages, suspended and moving gateways
+    and databases that refuse or do not answer.
+
+    Guards against a write that runs twice, one that is said not to have run although it
+    has, an answer of another statement, and a statement without any result.
+    """
+    fault = "none"
+    drops = {"lose statement": GatewayStatement, "lose outcome": GatewayOutcome}
+    network = make_network(
+        drops=lambda _, message: isinstance(message, drops.get(fault, ()))
+    )
+    network.holds_answers = True
+    requests = []
+    for number, (entry, is_write, fault, answer, gateway_name) in enumerate(steps, 1):
+        network.announce({**GATEWAYS, "p": gateway_name})
+        statement = WRITE if is_write else READ
+        request = make_statement_request(
+            number, statement, BOOKINGS_ROUTE, received_at=network.now
+        )
+        requests.append(request)
+        network.request(entry, request)
+        suspended = None
+        if fault == "suspend" and gateway_name != entry:
+            suspended = network.instances.pop(gateway_name)
+        if answer == "late":
+            network.advance(0.5)
+        if suspended is not None:
+            network.advance(1.5)
+            network.instances[gateway_name] = suspended
+        refused = {"rows": (), "signature": None, "position": None}
+        for instance in network.instances.values():
+            runs, instance.runs = instance.runs, []
+            for run in runs:
+                if answer == "refuse":
+                    network.answer(instance, run, code=ErrorCode.BUSY, **refused)
+                    network.executed.remove(run.dispatch.request.statement_id)
+                elif answer == "no answer":
+                    network.answer(
+                        instance, run, is_answered=False, is_usable=False, **refused
+                    )
+                else:
+                    network.answer(instance, run)
+        network.confirm()
+    network.holds_answers = False
+    network.advance(2.0)
+    results = [result for item in network.instances.values() for result in item.results]
+    assert sorted(item.request.request_id for item in results) == [
+        request.request_id for request in requests
+    ]
+    for result in results:
+        request = result.request
+        n_executed = network.executed.count(request.statement_id)
+        if not request.is_read_only:
+            assert n_executed <= 1
+            if result.effect is Effect.NOT_RUN and not result.is_answered:
+                assert n_executed == 0
+        if result.code is None and result.is_answered:
+            assert n_executed >= 1
+            assert result.signature == f"p.{request.statement_id}"
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -66,3 +66,12 @@
     )
     with pytest.raises(SettingsError, match=r"bounds\.quota_slack=some"):
         parse_platform_settings(TEXT + "bounds.quota_slack=some\n")
+
+
+def test_capacity_as_a_gateway():
+    """Guards against small machines as gateways of busy databases."""
+    assert parse_platform_settings(TEXT).gateway_capacity == 10
+    text = f"{TEXT}\nlimits.cpu_share=0.717\nlimits.cores=3\n"
+    assert parse_platform_settings(text).gateway_capacity == 22
+    text = f"{TEXT}\nlimits.cpu_share=0.01\n"
+    assert parse_platform_settings(text).gateway_capacity == 1
--- a/tests/test_session_composition.py
+++ b/tests/test_session_composition.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from sardinemill.events import EventName
 from sardinemill.fleet.views import InitialSyncCompleted, IsolationChanged
 from sardinemill.session_composition import (
     GracefulSessionShutdown,
@@ -335,3 +336,52 @@
         assert clock.seconds < 6.0
 
     asyncio.run(scenario())
+
+
+def list_gateway_tables(cluster):
+    """Return the digests of the tables of gateways that instances use."""
+    return [
+        event.fields["digest"]
+        for event in cluster.events.events
+        if event.name is EventName.GATEWAYS_CHANGED and event.fields["n_databases"] == 3
+    ]
+
+
+def list_gateways_of_answers(cluster):
+    """Return the gateways, ``""`` for none, of the statements that were answered."""
+    return [
+        event.fields["gateway"]
+        for event in cluster.events.events
+        if event.name is EventName.STATEMENT_ANSWERED
+    ]
+
+
+def test_instances_with_scarce_connections_share_those_of_gateways():
+    """Guards against a part of the way through a gateway that is not connected: the
+    tables of the coordinators, the links between instances, the way back, and the way
+    without a gateway once it is gone.
+    """
+
+    async def scenario(cluster):
+        await cluster.wait_for(lambda: len(list_gateway_tables(cluster)) >= 5)
+        for number in range(15):
+            client, _ = await cluster.connect("logs", instance=f"i{number % 5}")
+            written = await client.ask(f"WRITE a{number} data")
+            assert written[0].startswith("DONE p."), written
+            read = await client.ask(f"READ a{number}")
+            assert read[0] == "ROW data"
+            await client.ask("BEGIN")
+            await client.ask(f"WRITE a{number} again")
+            assert (await client.ask("COMMIT"))[0].startswith("DONE p.")
+            client.writer.close()
+        gateways = {name for name in list_gateways_of_answers(cluster) if name}
+        assert gateways
+        lost = gateways.pop()
+        instance = cluster.instances.pop(lost)
+        instance.stop.timeout_seconds = 0.0
+        await instance.application.stop()
+        left = next(iter(cluster.instances))
+        await cluster.ask_until("WRITE b data", "DONE p.", "logs", left)
+        await cluster.ask_until("READ b", "ROW data", "logs", left)
+
+    run_in_cluster(scenario, n_instances=5, n_connections=5)
