Queue forwarded statements in one place for each database; split the connection pool

Cause: the order of statements at a database was decided by as many queues as there are instances, and a database at a fifth of its speed ran statements whose clients had given up.

Change: the gateway is a filter of its own with one queue for each database, by priority. What cannot be answered in its time is refused at once, with the expected wait, as not run. A gateway that does not reach a database is passed by; a write that certainly did not run is then repeated without it.

--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -73,6 +73,9 @@
         "info",
         "A database answered a statement; the fields show why it was chosen.",
     )
+    GATEWAY_STATEMENT_FAILED = EventKind(
+        236, "info", "A statement that another instance forwarded failed at a database."
+    )
     SESSION_REFUSED = EventKind(233, "info", "A session was not opened.")
     LINES_DROPPED = EventKind(
         234,
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -262,7 +262,7 @@
         placement = self._make_stage(
             "placement", Placement(identity.data_centre, identity.name, identity)
         )
-        gateway = self._make_stage("gateway", Gateway())
+        gateway = self._make_stage("gateway", Gateway(identity.data_centre))
         self.readiness = Readiness()
         observer = adapters.observer
         store = adapters.make_store(FanOut([state, observer]))
@@ -281,6 +281,7 @@
         listener = adapters.make_listener(session_manager)
         session_closer = IsolatedSessionCloser(listener, adapters.clock)
         upstreams = adapters.make_upstreams(placement, failover)
+        gateway_upstreams = adapters.make_upstreams(gateway, failover)
         promotion_client = adapters.make_promotion_calls(failover)
         state.bind(
             {
@@ -288,9 +289,16 @@
                 "peers": peers,
                 "links": peers,
                 "routes": FanOut(
-                    [session_manager, admission, lending, placement, observer]
+                    [
+                        session_manager,
+                        admission,
+                        lending,
+                        placement,
+                        gateway,
+                        observer,
+                    ]
                 ),
-                "directory": FanOut([placement, failover]),
+                "directory": FanOut([placement, gateway, failover]),
                 "record": FanOut([placement, failover, lending, observer]),
                 "positions": placement,
                 "contacts": failover,
@@ -325,12 +333,18 @@
             {
                 "connections": upstreams,
                 "result": FanOut([session_manager, admission, observer]),
-                "forwarded": gateway,
                 "peers": peers,
                 "seen": state,
             }
         )
-        gateway.bind({"next": placement, "peers": peers, "introductions": state})
+        gateway.bind(
+            {
+                "connections": gateway_upstreams,
+                "peers": peers,
+                "introductions": state,
+                "seen": state,
+            }
+        )
         stages = (
             state,
             failover,
@@ -357,6 +371,7 @@
                 store,
                 peers,
                 upstreams,
+                gateway_upstreams,
                 promotion_client,
                 *(TaskComponent(stage.name, stage) for stage in stages),
                 listener,
--- a/src/sardinemill/sessions/connection_messages.py
+++ b/src/sardinemill/sessions/connection_messages.py
@@ -5,7 +5,7 @@
 from ..fleet.records import DatabaseEntry
 from ..positions import LogPosition
 from .connections import SetupStep
-from .messages import Dispatch, ErrorCode
+from .messages import Dispatch, Effect, ErrorCode, StatementRequest, TransactionStep
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,3 +106,22 @@
 
     connection_id: int
     is_usable: bool
+
+
+def classify_effect(request: StatementRequest, message: StatementFinished) -> Effect:
+    """Return what is certain about the effect of a failed statement."""
+    if message.failed_step is not None or message.asked_at == 0:
+        return Effect.NOT_RUN
+    if message.is_answered and message.code in (
+        ErrorCode.BUSY,
+        ErrorCode.STALE,
+        ErrorCode.READ_ONLY,
+        ErrorCode.UNKNOWN_STATEMENT,
+    ):
+        return Effect.NOT_RUN
+    if message.is_answered:
+        return Effect.ROLLED_BACK
+    ends_write = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
+    if ends_write and not request.is_read_only:
+        return Effect.UNKNOWN
+    return Effect.ROLLED_BACK
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -113,6 +113,21 @@
             item for item in self._connections.values() if item.database == database
         ]
 
+    def count_busy(self, database: str) -> int:
+        """Return the connections that occupy a slot: opening or with a statement."""
+        return sum(
+            item.dispatch is not None or not item.is_open
+            for item in self.list_connections(database)
+        )
+
+    def count_ahead(self, database: str, priority: int) -> int:
+        """Return the number of statements before a new one of a priority."""
+        n_queued = sum(
+            item.request.route.priority <= priority
+            for item in self._queues.get(database, ())
+        )
+        return n_queued + self.count_busy(database)
+
     def count_statements(self, database: str) -> int:
         """Return the number of statements that run at or queue for a database."""
         running = sum(
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -1,61 +1,105 @@
-"""Filter of a gateway: runs statements that other instances forward."""
+"""Filter of a gateway: owns shared connections and runs statements of all instances."""
 
 import itertools
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 from ..control import PeerEnvelope
+from ..events import Event, EventName
 from ..fleet.messages import Introduction
+from ..fleet.records import DatabaseEntry
+from ..fleet.views import DatabaseContact, DirectoryChanged
 from ..interfaces import Emission
 from ..positions import ORIGIN
-from .gateway_messages import (
-    GatewayOutcome,
-    GatewayRequest,
-    GatewayStatement,
-    PeerIntroduced,
+from .connection_messages import (
+    ConnectionFailed,
+    ConnectionOpened,
+    StatementFinished,
+    classify_effect,
 )
-from .messages import (
-    Effect,
-    ErrorCode,
-    StatementRequest,
-    StatementResult,
-    TransactionStep,
-)
-from .routes import Consistency, Route
+from .connection_pool import ConnectionLossKind, ConnectionPool
+from .connections import DEFAULT_CONNECTION_QUOTA
+from .databases import DatabaseView
+from .gateway_messages import GatewayOutcome, GatewayStatement, PeerIntroduced
+from .messages import Dispatch, Effect, ErrorCode, StatementRequest, TransactionStep
+from .routes import Consistency, Route, RoutesChanged
+from .work_estimate import MAX_WAIT_FRACTION, WorkEstimate, compute_concurrency
 
+# Fraction of a database's connection limit that its gateway may keep open. The rest is
+# for transactions, whose connections the other instances open themselves.
+GATEWAY_QUOTA_FRACTION = 0.5
 # Forwarded statements without an outcome above which further ones are refused.
 MAX_FORWARDED_STATEMENTS = 1000
 # Session of forwarded statements. They are outside transactions and pin no connection.
 NO_SESSION = 0
+MAINTENANCE_INTERVAL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class _Origin:
+    """Sender of a forwarded statement and the sender's number of it."""
+
+    peer: str
+    number: int
 
 
 class Gateway:
-    """Turns forwarded statements into requests and their results into outcomes.
+    """Queues the statements that instances forward, and runs them on its connections.
+
+    Each database has one queue, by priority. A statement that cannot be answered within
+    its time is refused at once. A statement makes one attempt here; its sender repeats
+    a read elsewhere.
 
-    Outlets: ``next`` (:class:`GatewayRequest`), ``peers`` (:class:`GatewayOutcome`),
-    ``introductions`` (:class:`PeerIntroduced`).
+    Outlets: ``connections`` (commands of
+    :mod:`~sardinemill.sessions.connection_messages`), ``peers``
+    (:class:`GatewayOutcome`), ``introductions`` (:class:`PeerIntroduced`), ``seen``
+    (:class:`DatabaseContact`), ``events``.
+
+    :param data_centre: of this instance.
     """
 
-    def __init__(self) -> None:
-        # Negative, so that they differ from the requests of this instance's sessions.
-        self._request_ids = itertools.count(-1, -1)
-        # Sender and its number, by request.
-        self._origins: dict[int, tuple[str, int]] = {}
+    def __init__(self, data_centre: str) -> None:
+        self._databases = DatabaseView(data_centre)
+        self._limits = _GatewayLimits(self._databases)
+        self._pool = ConnectionPool(self._limits)
+        self._work: dict[str, WorkEstimate] = {}
+        self._request_ids = itertools.count(1)
+        self._origins: dict[int, _Origin] = {}
         self._introductions: dict[str, Introduction] = {}
+        self._next_maintenance_at = 0.0
 
     @property
     def next_tick(self) -> float | None:
-        return None
+        return min(self._next_maintenance_at, self._pool.find_next_tick())
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, GatewayStatement):
                 return self._handle_statement(message.peer, message.message, now)
-        elif isinstance(message, StatementResult):
-            return self._handle_result(message)
+        elif isinstance(message, StatementFinished):
+            return self._handle_finished(message, now)
+        elif isinstance(message, ConnectionOpened):
+            database, emissions = self._pool.record_opened(message, now)
+            return emissions + self._emit_contact(database, True, now)
+        elif isinstance(message, ConnectionFailed):
+            return self._handle_connection_failed(message, now)
+        elif isinstance(message, DirectoryChanged):
+            self._databases.update_directory(message.directory, now)
+        elif isinstance(message, RoutesChanged):
+            self._limits.max_connections = message.table.max_connections
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
-        return ()
+        emissions: list[Emission] = []
+        for dispatch in self._pool.expire(now):
+            emissions.append(self._refuse(dispatch, "no connection was free"))
+        emissions += self._pool.retry_full(now)
+        if now >= self._next_maintenance_at:
+            self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
+            emissions += self._pool.close_idle(now)
+        return emissions
+
+    # Forwarded statements
 
     def _handle_statement(
         self, peer: str, message: GatewayStatement, now: float
@@ -65,43 +109,199 @@
             self._introductions[peer] = message.introduction
             introduced = PeerIntroduced(message.introduction)
             emissions.append(Emission("introductions", introduced))
-        if len(self._origins) >= MAX_FORWARDED_STATEMENTS:
-            outcome = GatewayOutcome(
-                number=message.number,
-                is_answered=False,
-                effect=Effect.NOT_RUN,
-                code=ErrorCode.BUSY,
-                message="too many statements wait at the gateway; retry after 0.5 s",
-            )
-            return [
-                *emissions,
-                Emission("peers", PeerEnvelope(peer=peer, message=outcome)),
-            ]
         request = _make_request(next(self._request_ids), message, now)
-        self._origins[request.request_id] = (peer, message.number)
-        forwarded = GatewayRequest(
+        dispatch = Dispatch(
             request=request,
             database=message.database,
             minimum_position=message.minimum_position,
+            attempt_deadline=request.deadline,
         )
-        return [*emissions, Emission("next", forwarded)]
+        self._origins[request.request_id] = _Origin(peer, message.number)
+        if self._databases.find_entry(message.database, now) is None:
+            outcome = self._emit_outcome(
+                request,
+                Effect.NOT_RUN,
+                code=ErrorCode.BUSY,
+                message="the gateway does not know the database",
+                is_unreachable=True,
+            )
+            return [*emissions, outcome]
+        reason = self._find_refusal(dispatch, now)
+        if reason is not None:
+            return [*emissions, self._refuse(dispatch, reason)]
+        return [
+            *emissions,
+            *self._refuse_hopeless(message.database, now),
+            *self._pool.enqueue(dispatch, now),
+        ]
+
+    def _find_refusal(self, dispatch: Dispatch, now: float) -> str | None:
+        """Return why a statement is refused on arrival, ``None`` to queue it."""
+        request, database = dispatch.request, dispatch.database
+        entry = self._databases.find_entry(database, now)
+        if entry is None:
+            return None
+        if len(self._origins) > MAX_FORWARDED_STATEMENTS:
+            return "too many statements wait at the gateway; retry after 0.5 s"
+        n_ahead = self._pool.state.count_ahead(database, request.route.priority)
+        estimate = self._work.get(database)
+        # Without a queue the statement is tried, since the estimate may be too high
+        # after a pause of this process.
+        if estimate is None or n_ahead < compute_concurrency(entry.n_slots):
+            return None
+        wait = estimate.estimate_wait(n_ahead, entry.n_slots, now)
+        if wait <= request.route.timeout_seconds * MAX_WAIT_FRACTION:
+            return None
+        return f"{n_ahead} statements wait for the database; retry after {wait:.2f} s"
+
+    def _refuse_hopeless(self, database: str, now: float) -> list[Emission]:
+        """Refuse queued statements that the database cannot run in the time left.
 
-    def _handle_result(self, result: StatementResult) -> list[Emission]:
-        origin = self._origins.pop(result.request.request_id, None)
-        if origin is None:
+        Sent to the database, such a write would end in doubt.
+        """
+        estimate = self._work.get(database)
+        if estimate is None:
             return []
-        peer, number = origin
+        latest_end = now + estimate.estimate_run(now)
+        return [
+            self._refuse(dispatch, "the database is overloaded; retry after 0.5 s")
+            for dispatch in self._pool.remove_due_before(database, latest_end)
+        ]
+
+    def _refuse(self, dispatch: Dispatch, reason: str) -> Emission:
+        return self._emit_outcome(
+            dispatch.request, Effect.NOT_RUN, code=ErrorCode.BUSY, message=reason
+        )
+
+    def _emit_outcome(
+        self,
+        request: StatementRequest,
+        effect: Effect,
+        *,
+        code: ErrorCode | None,
+        message: str,
+        finished: StatementFinished | None = None,
+        is_unreachable: bool = False,
+    ) -> Emission:
+        origin = self._origins.pop(request.request_id)
         outcome = GatewayOutcome(
-            number=number,
-            is_answered=result.is_answered,
-            effect=result.effect,
-            code=result.code,
-            message=result.message,
-            signature=result.signature,
-            rows=result.rows,
-            position=result.position,
+            number=origin.number,
+            is_answered=finished is not None and finished.is_answered,
+            effect=effect,
+            code=code,
+            message=message,
+            signature=None if finished is None else finished.signature,
+            rows=() if finished is None else finished.rows,
+            position=None if finished is None else finished.position,
+            is_unreachable=is_unreachable,
+        )
+        return Emission("peers", PeerEnvelope(peer=origin.peer, message=outcome))
+
+    # Messages of the connection tasks
+
+    def _handle_finished(
+        self, message: StatementFinished, now: float
+    ) -> list[Emission]:
+        connection = self._pool.state.get(message.connection_id)
+        if connection is None:
+            return []
+        database = connection.database
+        if message.is_answered and message.code is None and message.asked_at > 0:
+            self._record_work(database, now - message.asked_at, now)
+        emissions = self._refuse_hopeless(database, now)
+        dispatch, commands = self._pool.finish(message, now)
+        emissions += commands
+        if dispatch is None:
+            return emissions
+        emissions += self._emit_contact(database, message.is_answered, now)
+        if message.code is not None or not message.is_answered:
+            emissions.append(self._log_failure(dispatch, message))
+        outcome = self._emit_outcome(
+            dispatch.request,
+            classify_effect(dispatch.request, message),
+            code=message.code,
+            message=message.message,
+            finished=message,
+            is_unreachable=not message.is_answered,
         )
-        return [Emission("peers", PeerEnvelope(peer=peer, message=outcome))]
+        return [outcome, *emissions]
+
+    def _record_work(self, database: str, seconds: float, now: float) -> None:
+        entry = self._databases.find_entry(database, now)
+        if entry is not None:
+            estimate = self._work.setdefault(database, WorkEstimate())
+            n_running = self._pool.state.count_busy(database)
+            estimate.record(seconds, n_running, entry.n_slots, now)
+
+    def _log_failure(self, dispatch: Dispatch, message: StatementFinished) -> Emission:
+        origin = self._origins[dispatch.request.request_id]
+        fields = {
+            "request_id": dispatch.request.statement_id,
+            "entry": origin.peer,
+            "workspace": dispatch.request.workspace,
+            "database": dispatch.database,
+            "code": None if message.code is None else message.code.value,
+            "reason": message.message,
+        }
+        return Emission("events", Event(EventName.GATEWAY_STATEMENT_FAILED, fields))
+
+    def _handle_connection_failed(
+        self, message: ConnectionFailed, now: float
+    ) -> list[Emission]:
+        loss = self._pool.record_loss(message, now)
+        if loss is None:
+            return []
+        if loss.kind is ConnectionLossKind.FULL:
+            return self._emit_contact(loss.database, True, now)
+        if loss.kind is ConnectionLossKind.IDLE:
+            return self._pool.assign(loss.database, now)
+        emissions: list[Emission] = []
+        if message.code is None:
+            emissions += self._emit_contact(loss.database, False, now)
+        for dispatch in loss.dispatches:
+            emissions.append(
+                self._emit_outcome(
+                    dispatch.request,
+                    Effect.NOT_RUN,
+                    code=message.code,
+                    message=message.message,
+                    is_unreachable=True,
+                )
+            )
+        return emissions
+
+    def _emit_contact(
+        self, database: str | None, is_alive: bool, now: float
+    ) -> list[Emission]:
+        if database is None:
+            return []
+        return [Emission("seen", DatabaseContact(database, is_alive, now))]
+
+
+class _GatewayLimits:
+    """Pool limits of a gateway: a large share of the connections of its databases."""
+
+    def __init__(self, databases: DatabaseView) -> None:
+        self._databases = databases
+        self.max_connections: Mapping[str, int] = {}
+
+    def find_entry(self, database: str, now: float) -> DatabaseEntry | None:
+        return self._databases.find_entry(database, now)
+
+    def list_quotas(self) -> dict[str, float]:
+        return {
+            item.name: self.compute_quota(item)
+            for item in self._databases.directory.databases
+        }
+
+    def compute_quota(self, entry: DatabaseEntry) -> float:
+        limit = self.max_connections.get(entry.group)
+        if limit is None:
+            return DEFAULT_CONNECTION_QUOTA
+        return limit * GATEWAY_QUOTA_FRACTION
+
+    def compute_concurrency(self, entry: DatabaseEntry) -> float:
+        return compute_concurrency(entry.n_slots)
 
 
 def _make_request(
--- a/src/sardinemill/sessions/gateway_client.py
+++ b/src/sardinemill/sessions/gateway_client.py
@@ -15,8 +15,8 @@
 from .gateway_messages import GatewayStatement
 from .messages import Dispatch
 
-# A gateway that did not answer gets no statements for this time, after which the
-# coordinators have assigned another one.
+# A gateway that did not answer, or that does not reach a database, gets no statements
+# for this time, after which the coordinators have assigned another one.
 SILENCE_BACKOFF_SECONDS = 3.0
 # Fraction of the time left that a gateway gets, so that it reports its own time-out
 # before it would count as silent.
@@ -62,6 +62,7 @@
             first_number = digest * N_STATEMENT_NUMBERS
         self._gateways: dict[str, str] = {}
         self._silent_until: dict[str, float] = {}
+        self._unreachable_until: dict[str, float] = {}
         self._numbers = itertools.count(first_number)
         self._forwards: dict[int, Forward] = {}
 
@@ -73,21 +74,22 @@
             for database in gateway.databases
         }
 
-    def is_own(self, database: str) -> bool:
-        """Return whether this instance is the gateway of a database."""
-        introduction = self._introduction
-        return (
-            introduction is not None
-            and self._gateways.get(database) == introduction.instance
-        )
-
     def find(self, database: str, now: float) -> str | None:
-        """Return the instance to forward a database's statements to, if any."""
+        """Return the gateway to forward a database's statements to, if any.
+
+        It may be this instance itself.
+        """
         gateway = self._gateways.get(database)
-        if gateway is None or self._introduction is None or self.is_own(database):
+        if gateway is None or self._introduction is None:
+            return None
+        if now < self._unreachable_until.get(database, NEVER):
             return None
         return None if now < self._silent_until.get(gateway, NEVER) else gateway
 
+    def record_unreachable(self, database: str, now: float) -> None:
+        """Record that a gateway does not reach its database."""
+        self._unreachable_until[database] = now + SILENCE_BACKOFF_SECONDS
+
     def count(self, database: str) -> int:
         """Return the number of forwarded statements without an outcome."""
         return sum(
--- a/src/sardinemill/sessions/gateway_messages.py
+++ b/src/sardinemill/sessions/gateway_messages.py
@@ -9,7 +9,6 @@
     ErrorCode,
     PreparedStatement,
     Statement,
-    StatementRequest,
 )
 
 # Between instances.
@@ -50,6 +49,8 @@
     :param is_answered: the database answered.
     :param effect: of a statement that did not succeed.
     :param position: of the database's log after the answer, if it reported one.
+    :param is_unreachable: the gateway could not reach the database; other instances
+        perhaps can.
     """
 
     number: int
@@ -60,23 +61,12 @@
     signature: str | None = None
     rows: tuple[str, ...] = field(default=(), repr=False)
     position: LogPosition | None = None
+    is_unreachable: bool = False
 
 
 # Inside the gateway.
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GatewayRequest:
-    """Forwarded statement on its way to the placement of the gateway.
-
-    :param database: chosen by the sender.
-    """
-
-    request: StatementRequest
-    database: str
-    minimum_position: LogPosition | None
-
-
 @dataclass(frozen=True, slots=True)
 class PeerIntroduced:
     """Another instance has stated its address; messages for it can be sent there."""
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -1,7 +1,7 @@
 """Filter that assigns a database and a connection to each statement."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from ..control import PeerEnvelope
 from ..events import Event, EventName
@@ -18,27 +18,17 @@
 from ..interfaces import Emission
 from ..positions import LogPosition
 from .connection_messages import (
-    CloseConnection,
     ConnectionFailed,
     ConnectionOpened,
-    OpenConnection,
-    RollBack,
     RolledBack,
-    RunStatement,
     StatementFinished,
+    classify_effect,
 )
-from .connections import (
-    DEFAULT_CONNECTION_QUOTA,
-    OVER_QUOTA_LIMIT,
-    QUOTA_FRACTION,
-    Connection,
-    PoolState,
-    apply_setup,
-    plan_setup,
-)
+from .connection_pool import ConnectionLossKind, ConnectionPool
+from .connections import DEFAULT_CONNECTION_QUOTA, QUOTA_FRACTION, Connection
 from .databases import DatabaseView
 from .gateway_client import Forward, GatewayClient
-from .gateway_messages import GatewayOutcome, GatewayRequest
+from .gateway_messages import GatewayOutcome
 from .messages import (
     Dispatch,
     Effect,
@@ -48,24 +38,18 @@
     TransactionAbandoned,
     TransactionStep,
 )
-from .routes import EMPTY_ROUTE_TABLE, Consistency, RoutesChanged
+from .routes import Consistency, RoutesChanged
 
 # Attempts for one statement, the first included.
 MAX_ATTEMPTS = 3
 # A read without an answer is retried at another database after this fraction of its
 # time-out, which leaves the second attempt as much time.
 ATTEMPT_TIMEOUT_FRACTION = 0.4
-# Pause before the next attempt to connect to a database at its connection limit.
-FULL_RETRY_SECONDS = 0.05
 MAINTENANCE_INTERVAL_SECONDS = 0.1
 
 # Cost of opening a connection, in the unit of the costs in
 # :mod:`~sardinemill.sessions.databases`.
 NEW_CONNECTION_COST = 0.35
-# Fraction of a database's connection limit that its gateway may keep open. The rest is
-# for transactions, whose connections the other instances open themselves.
-GATEWAY_QUOTA_FRACTION = 0.5
-NEVER = float("-inf")
 
 
 class _PendingStatement:
@@ -77,13 +61,10 @@
         on the primary.
     :ivar evidence_age_seconds: age of the evidence that chose the database.
     :ivar gateway: instance that the current attempt was forwarded to, ``""`` if none.
-    :ivar is_forwarded: another instance forwarded it to this one, which makes a single
-        attempt.
     """
 
-    def __init__(self, request: StatementRequest, is_forwarded: bool = False) -> None:
+    def __init__(self, request: StatementRequest) -> None:
         self.request = request
-        self.is_forwarded = is_forwarded
         self.gateway = ""
         self.tried: set[str] = set()
         self.n_attempts = 0
@@ -104,8 +85,7 @@
 
     Outlets: ``connections`` (commands of
     :mod:`~sardinemill.sessions.connection_messages`), ``result``
-    (:class:`StatementResult`), ``forwarded`` (:class:`StatementResult` of statements
-    from other instances), ``peers`` (:class:`GatewayStatement`), ``seen``
+    (:class:`StatementResult`), ``peers`` (:class:`GatewayStatement`), ``seen``
     (:class:`PositionSeen`, :class:`DatabaseContact`), ``events``.
 
     :param data_centre: of this instance.
@@ -120,24 +100,19 @@
         identity: Identity | None = None,
     ) -> None:
         self._databases = DatabaseView(data_centre, instance)
-        self._pool = PoolState()
+        self._limits = _InstanceLimits(self._databases)
+        self._pool = ConnectionPool(self._limits)
         self._gateways = GatewayClient(identity)
         self._pending: dict[int, _PendingStatement] = {}
-        self._full_until: dict[str, float] = {}
         self._next_maintenance_at = 0.0
         self._has_primary_lease = False
-        self._route_table = EMPTY_ROUTE_TABLE
-        self._n_instances = 1
 
     @property
     def next_tick(self) -> float | None:
-        deadline = self._pool.find_next_deadline()
-        next_full_retry = min(self._full_until.values(), default=math.inf)
         return min(
             self._next_maintenance_at,
-            next_full_retry,
+            self._pool.find_next_tick(),
             self._gateways.find_next_deadline(),
-            math.inf if deadline is None else deadline,
         )
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
@@ -149,16 +124,14 @@
             if isinstance(message.message, GatewayOutcome):
                 return self._handle_outcome(message.peer, message.message, now)
             return ()
-        if isinstance(message, GatewayRequest):
-            return self._handle_forwarded(message, now)
         if isinstance(message, ConnectionOpened):
             return self._handle_opened(message, now)
         if isinstance(message, ConnectionFailed):
             return self._handle_connection_failed(message, now)
         if isinstance(message, RolledBack):
-            return self._handle_rolled_back(message, now)
+            return self._pool.record_rollback(message, now)
         if isinstance(message, TransactionAbandoned):
-            return self._abandon_transaction(message.session_id)
+            return self._pool.abandon_transaction(message.session_id)
         if isinstance(message, RecordConfirmed):
             self._databases.confirm_record(message)
             return self._emit_lease_change(now)
@@ -167,17 +140,16 @@
         elif isinstance(message, DirectoryChanged):
             self._databases.update_directory(message.directory, now)
         elif isinstance(message, RoutesChanged):
-            self._route_table = message.table
+            self._limits.max_connections = message.table.max_connections
         elif isinstance(message, ReachableCoordinatorsChanged):
-            self._n_instances = max(1, message.n_instances)
+            self._limits.n_instances = max(1, message.n_instances)
         elif isinstance(message, GatewaysChanged):
             self._gateways.update(message.table)
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
         emissions: list[Emission] = []
-        for dispatch in self._pool.list_overdue(now):
-            self._pool.remove_queued(dispatch)
+        for dispatch in self._pool.expire(now):
             emissions += self._finish_attempt(
                 dispatch.request,
                 dispatch.database,
@@ -186,18 +158,10 @@
             )
         for forward in self._gateways.expire(now):
             emissions += self._handle_silent_gateway(forward, now)
-        for database, until in list(self._full_until.items()):
-            if now >= until:
-                del self._full_until[database]
-                emissions += self._assign_connections(database, now)
+        emissions += self._pool.retry_full(now)
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
-            quotas = {
-                item.name: self._compute_connection_quota(item)
-                for item in self._databases.directory.databases
-            }
-            for connection in self._pool.list_expired(quotas, now):
-                emissions.append(self._close_connection(connection))
+            emissions += self._pool.close_idle(now)
             emissions += self._emit_lease_change(now)
         return emissions
 
@@ -215,7 +179,7 @@
     def _handle_request(self, request: StatementRequest, now: float) -> list[Emission]:
         pending = _PendingStatement(request)
         self._pending[request.request_id] = pending
-        pinned = self._pool.find_pinned(request.session_id)
+        pinned = self._pool.state.find_pinned(request.session_id)
         if pinned is not None:
             return self._continue_transaction(pending, pinned, now)
         if request.has_begun or request.step is TransactionStep.LATER:
@@ -239,7 +203,7 @@
             minimum_position=None,
             attempt_deadline=request.deadline,
         )
-        return [self._run_statement(pinned, dispatch)]
+        return [self._pool.run(pinned, dispatch)]
 
     def _choose_database(
         self, pending: _PendingStatement, now: float
@@ -287,26 +251,15 @@
 
     def _estimate_load(self, entry: DatabaseEntry, workspace: str, now: float) -> float:
         """Return the expected wait at a database, in units of one waiting statement."""
-        n_statements = self._pool.count_statements(entry.name)
+        n_statements = self._pool.state.count_statements(entry.name)
         n_statements += self._gateways.count(entry.name)
         load = n_statements / max(1, entry.n_slots)
         has_connection = (
             self._gateways.find(entry.name, now) is not None
-            or self._pool.find_idle(entry.name, workspace, ()) is not None
+            or self._pool.state.find_idle(entry.name, workspace, ()) is not None
         )
         return load if has_connection else load + NEW_CONNECTION_COST
 
-    # Choice of a connection
-
-    def _compute_connection_quota(self, entry: DatabaseEntry) -> float:
-        """Return the connections that this instance may keep open to a database."""
-        limit = self._route_table.max_connections.get(entry.group)
-        if limit is None:
-            return DEFAULT_CONNECTION_QUOTA
-        if self._gateways.is_own(entry.name):
-            return limit * GATEWAY_QUOTA_FRACTION
-        return limit * QUOTA_FRACTION / self._n_instances
-
     def _enqueue(
         self, pending: _PendingStatement, entry: DatabaseEntry, now: float
     ) -> list[Emission]:
@@ -327,8 +280,7 @@
             message = self._gateways.start(dispatch, pending.gateway, now)
             envelope = PeerEnvelope(peer=pending.gateway, message=message)
             return [Emission("peers", envelope)]
-        self._pool.enqueue(dispatch)
-        return self._assign_connections(entry.name, now)
+        return self._pool.enqueue(dispatch, now)
 
     def _find_gateway(
         self, request: StatementRequest, database: str, now: float
@@ -336,105 +288,38 @@
         """Return the instance to forward a statement to, ``None`` to run it here."""
         if request.step is not TransactionStep.NONE:
             return None
-        if self._pool.find_idle(database, request.workspace, ()) is not None:
+        if self._pool.state.find_idle(database, request.workspace, ()) is not None:
             return None
         return self._gateways.find(database, now)
 
-    def _assign_connections(self, database: str, now: float) -> list[Emission]:
-        """Assign idle connections to queued statements and open missing ones."""
-        emissions: list[Emission] = []
-        connections = self._pool.list_connections(database)
-        opening = [item.workspace for item in connections if not item.is_open]
-        for dispatch in self._pool.list_queued(database):
-            request = dispatch.request
-            idle_connection = self._pool.find_idle(
-                database, request.workspace, request.session_variables
-            )
-            if idle_connection is not None:
-                self._pool.remove_queued(dispatch)
-                emissions.append(self._run_statement(idle_connection, dispatch))
-            elif request.workspace in opening:
-                opening.remove(request.workspace)
-            else:
-                emissions += self._open_connection(database, request.workspace, now)
-        return emissions
-
-    def _open_connection(
-        self, database: str, workspace: str, now: float
-    ) -> list[Emission]:
-        if now < self._full_until.get(database, NEVER):
-            return []
-        emissions: list[Emission] = []
-        n_open = len(self._pool.list_connections(database))
-        entry = self._databases.find_entry(database, now)
-        if entry is None:
-            return emissions
-        quota = max(1.0, self._compute_connection_quota(entry))
-        if n_open >= quota:
-            evicted = self._pool.find_evictable(database, workspace)
-            if evicted is not None:
-                emissions.append(self._close_connection(evicted))
-            elif n_open >= max(quota, OVER_QUOTA_LIMIT):
-                return []
-        connection = self._pool.add_connection(database, workspace, now)
-        command = OpenConnection(connection.connection_id, entry, workspace)
-        return [*emissions, Emission("connections", command)]
-
-    def _close_connection(self, connection: Connection) -> Emission:
-        self._pool.remove_connection(connection.connection_id)
-        return Emission("connections", CloseConnection(connection.connection_id))
-
-    def _run_statement(self, connection: Connection, dispatch: Dispatch) -> Emission:
-        setup = plan_setup(connection, dispatch)
-        connection.setup = setup
-        connection.dispatch = dispatch
-        if dispatch.request.step is not TransactionStep.NONE:
-            connection.session_id = dispatch.request.session_id
-        command = RunStatement(connection.connection_id, setup, dispatch)
-        return Emission("connections", command)
-
-    def _release_connection(self, connection: Connection, now: float) -> list[Emission]:
-        connection.session_id = None
-        connection.is_rollback_pending = False
-        connection.last_used_at = now
-        return self._assign_connections(connection.database, now)
-
     # Messages of the connection tasks
 
     def _handle_opened(self, message: ConnectionOpened, now: float) -> list[Emission]:
-        connection = self._pool.get(message.connection_id)
-        if connection is None:
-            return [Emission("connections", CloseConnection(message.connection_id))]
-        connection.is_open = True
-        connection.last_used_at = now
-        self._databases.record_success(connection.database)
-        emissions = self._emit_contact(connection.database, now)
-        return [*emissions, *self._assign_connections(connection.database, now)]
+        database, emissions = self._pool.record_opened(message, now)
+        if database is None:
+            return emissions
+        self._databases.record_success(database)
+        return [*self._emit_contact(database, now), *emissions]
 
     def _handle_connection_failed(
         self, message: ConnectionFailed, now: float
     ) -> list[Emission]:
-        connection = self._pool.remove_connection(message.connection_id)
-        if connection is None:
+        loss = self._pool.record_loss(message, now)
+        if loss is None:
             return []
-        database = connection.database
-        if message.code is ErrorCode.TOO_MANY_CONNECTIONS:
-            # Other instances hold the remaining slots and will close idle connections.
-            self._full_until[database] = now + FULL_RETRY_SECONDS
-            return self._emit_contact(database, now)
-        if connection.is_open:
-            # An idle connection that ends is no sign of a failed database.
-            return self._assign_connections(database, now)
+        if loss.kind is ConnectionLossKind.FULL:
+            return self._emit_contact(loss.database, now)
+        if loss.kind is ConnectionLossKind.IDLE:
+            return self._pool.assign(loss.database, now)
         emissions: list[Emission] = []
-        self._databases.record_failure(database, now)
+        self._databases.record_failure(loss.database, now)
         if message.code is None:
-            contact = DatabaseContact(database, False, now)
+            contact = DatabaseContact(loss.database, False, now)
             emissions.append(Emission("seen", contact))
-        for dispatch in self._pool.list_queued(database):
-            self._pool.remove_queued(dispatch)
+        for dispatch in loss.dispatches:
             emissions += self._finish_attempt(
                 dispatch.request,
-                database,
+                loss.database,
                 now,
                 code=message.code,
                 message=message.message,
@@ -444,28 +329,22 @@
     def _handle_finished(
         self, message: StatementFinished, now: float
     ) -> list[Emission]:
-        connection = self._pool.get(message.connection_id)
-        if connection is None or connection.dispatch is None:
-            return []
-        dispatch = connection.dispatch
-        request = dispatch.request
-        pending = self._pending.get(request.request_id)
-        connection.dispatch = None
-        emissions: list[Emission] = []
+        dispatch, emissions = self._pool.finish(message, now)
+        if dispatch is None:
+            return emissions
+        request, database = dispatch.request, dispatch.database
         if message.is_answered:
-            emissions += self._emit_contact(connection.database, now)
+            emissions += self._emit_contact(database, now)
         else:
-            self._databases.record_failure(connection.database, now)
-            contact = DatabaseContact(connection.database, False, now)
+            self._databases.record_failure(database, now)
+            contact = DatabaseContact(database, False, now)
             emissions.append(Emission("seen", contact))
-        if message.is_usable:
-            apply_setup(connection, connection.setup[: message.n_setup])
-        emissions += self._settle_connection(connection, message, request, now)
+        pending = self._pending.get(request.request_id)
         if pending is None:
             return emissions
-        effect = _classify_effect(request, message)
+        effect = classify_effect(request, message)
         return emissions + self._conclude_attempt(
-            pending, connection.database, message, effect, now
+            pending, database, message, effect, now
         )
 
     def _conclude_attempt(
@@ -475,6 +354,7 @@
         message: StatementFinished,
         effect: Effect,
         now: float,
+        is_gateway_failure: bool = False,
     ) -> list[Emission]:
         """Emit the result of a statement that succeeded, or end its attempt."""
         request = pending.request
@@ -491,9 +371,9 @@
                 message=message.message,
                 is_answered=message.is_answered,
                 effect=effect,
+                is_gateway_failure=is_gateway_failure,
             )
-        # The sender of a forwarded write checks it when the outcome arrives, later.
-        if not pending.is_forwarded and self._is_late_write(request, database, now):
+        if self._is_late_write(request, database, now):
             return emissions + self._finish_attempt(
                 request,
                 database,
@@ -518,26 +398,6 @@
 
     # Statements that pass through a gateway
 
-    def _handle_forwarded(self, message: GatewayRequest, now: float) -> list[Emission]:
-        """Queue a statement of another instance for one of this gateway's databases."""
-        request = message.request
-        pending = _PendingStatement(request, is_forwarded=True)
-        pending.n_attempts = MAX_ATTEMPTS
-        pending.minimum_position = message.minimum_position
-        self._pending[request.request_id] = pending
-        if self._databases.find_entry(message.database, now) is None:
-            return self._refuse(
-                pending, ErrorCode.BUSY, "the gateway does not know the database"
-            )
-        dispatch = Dispatch(
-            request=request,
-            database=message.database,
-            minimum_position=message.minimum_position,
-            attempt_deadline=request.deadline,
-        )
-        self._pool.enqueue(dispatch)
-        return self._assign_connections(message.database, now)
-
     def _handle_outcome(
         self, gateway: str, outcome: GatewayOutcome, now: float
     ) -> list[Emission]:
@@ -550,8 +410,8 @@
         has_run = outcome.is_answered or outcome.effect is not Effect.NOT_RUN
         if outcome.is_answered:
             emissions += self._emit_contact(database, now)
-        elif has_run:
-            self._databases.record_failure(database, now)
+        if outcome.is_unreachable:
+            self._gateways.record_unreachable(database, now)
         if pending is None:
             return emissions
         # The statement was sent to the database later, so the send time of the message
@@ -569,7 +429,12 @@
             position=outcome.position,
         )
         return emissions + self._conclude_attempt(
-            pending, database, finished, outcome.effect, now
+            pending,
+            database,
+            finished,
+            outcome.effect,
+            now,
+            is_gateway_failure=outcome.is_unreachable,
         )
 
     def _handle_silent_gateway(self, forward: Forward, now: float) -> list[Emission]:
@@ -582,7 +447,7 @@
             now,
             message=f"the gateway {forward.gateway} did not answer",
             effect=Effect.UNKNOWN if is_write else Effect.ROLLED_BACK,
-            is_gateway_silent=True,
+            is_gateway_failure=True,
         )
 
     def _is_late_write(
@@ -598,55 +463,6 @@
         primary = self._databases.find_primary(request.route.group, now)
         return primary is None or primary.name != database
 
-    def _settle_connection(
-        self,
-        connection: Connection,
-        message: StatementFinished,
-        request: StatementRequest,
-        now: float,
-    ) -> list[Emission]:
-        """Release, keep, roll back or close a connection after a statement."""
-        if not message.is_usable:
-            return [
-                self._close_connection(connection),
-                *self._assign_connections(connection.database, now),
-            ]
-        has_failed = message.code is not None or message.failed_step is not None
-        if request.step is TransactionStep.NONE:
-            return self._release_connection(connection, now)
-        if request.step is TransactionStep.COMMIT and not has_failed:
-            return self._release_connection(connection, now)
-        if message.failed_step is not None and message.failed_step.is_begin:
-            return self._release_connection(connection, now)
-        if has_failed or connection.is_rollback_pending:
-            return [self._roll_back(connection)]
-        return []
-
-    def _roll_back(self, connection: Connection) -> Emission:
-        connection.session_id = None
-        connection.is_rollback_pending = False
-        connection.is_rolling_back = True
-        return Emission("connections", RollBack(connection.connection_id))
-
-    def _handle_rolled_back(self, message: RolledBack, now: float) -> list[Emission]:
-        connection = self._pool.get(message.connection_id)
-        if connection is None:
-            return []
-        connection.is_rolling_back = False
-        if not message.is_usable:
-            self._pool.remove_connection(message.connection_id)
-            return self._assign_connections(connection.database, now)
-        return self._release_connection(connection, now)
-
-    def _abandon_transaction(self, session_id: int) -> list[Emission]:
-        connection = self._pool.find_pinned(session_id)
-        if connection is None:
-            return []
-        if connection.dispatch is not None:
-            connection.is_rollback_pending = True
-            return []
-        return [self._roll_back(connection)]
-
     # Results
 
     def _emit_contact(self, database: str, now: float) -> list[Emission]:
@@ -671,7 +487,7 @@
     ) -> Emission:
         """Emit the final result of a statement, which is then no longer pending."""
         self._pending.pop(pending.request.request_id, None)
-        return Emission("forwarded" if pending.is_forwarded else "result", result)
+        return Emission("result", result)
 
     def _finish_attempt(
         self,
@@ -683,21 +499,23 @@
         message: str = "",
         is_answered: bool = False,
         effect: Effect = Effect.NOT_RUN,
-        is_gateway_silent: bool = False,
+        is_gateway_failure: bool = False,
     ) -> list[Emission]:
         """Retry the statement at another database, or emit its final result.
 
-        :param is_gateway_silent: the gateway failed and not the database, which may be
-            tried again.
+        :param is_gateway_failure: the gateway is silent or does not reach the database,
+            which may be tried again without it.
         """
         pending = self._pending.get(request.request_id)
         if pending is None:
             return []
         if code is ErrorCode.STALE:
             self._databases.record_lag(database, now)
-        if not is_gateway_silent:
+        if not is_gateway_failure:
             pending.tried.add(database)
-        if self._may_retry(pending, code, effect, now):
+        # Without the gateway even a write may be repeated, if it certainly did not run.
+        may_bypass = is_gateway_failure and effect is Effect.NOT_RUN
+        if may_bypass or self._may_retry(pending, code, effect, now):
             fields = {
                 "request_id": request.statement_id,
                 "group": request.route.group,
@@ -747,20 +565,28 @@
         return request.step is TransactionStep.FIRST and effect is Effect.NOT_RUN
 
 
-def _classify_effect(request: StatementRequest, message: StatementFinished) -> Effect:
-    """Return what is certain about the effect of a failed statement."""
-    if message.failed_step is not None or message.asked_at == 0:
-        return Effect.NOT_RUN
-    if message.is_answered and message.code in (
-        ErrorCode.BUSY,
-        ErrorCode.STALE,
-        ErrorCode.READ_ONLY,
-        ErrorCode.UNKNOWN_STATEMENT,
-    ):
-        return Effect.NOT_RUN
-    if message.is_answered:
-        return Effect.ROLLED_BACK
-    ends_write = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
-    if ends_write and not request.is_read_only:
-        return Effect.UNKNOWN
-    return Effect.ROLLED_BACK
+class _InstanceLimits:
+    """Pool limits of one instance: its share of each database's connections."""
+
+    def __init__(self, databases: DatabaseView) -> None:
+        self._databases = databases
+        self.max_connections: Mapping[str, int] = {}
+        self.n_instances = 1
+
+    def find_entry(self, database: str, now: float) -> DatabaseEntry | None:
+        return self._databases.find_entry(database, now)
+
+    def list_quotas(self) -> dict[str, float]:
+        return {
+            item.name: self.compute_quota(item)
+            for item in self._databases.directory.databases
+        }
+
+    def compute_quota(self, entry: DatabaseEntry) -> float:
+        limit = self.max_connections.get(entry.group)
+        if limit is None:
+            return DEFAULT_CONNECTION_QUOTA
+        return limit * QUOTA_FRACTION / self.n_instances
+
+    def compute_concurrency(self, entry: DatabaseEntry) -> float:
+        return math.inf
