--- a/src/sardinemill/fleet/gateway_table.py
+++ b/src/sardinemill/fleet/gateway_table.py
@@ -116,7 +116,7 @@
         fields = {
             "n_gateways": len(table.gateways),
             "n_databases": sum(len(item.databases) for item in table.gateways),
-            "digest": self.digest,
+            "table_hash": self.digest,
         }
         return [
             Emission("gateways", GatewaysChanged(table)),
--- a/tests/test_session_composition.py
+++ b/tests/test_session_composition.py
@@ -339,9 +339,9 @@
 
 
 def list_gateway_tables(cluster):
-    """Return the digests of the tables of gateways that instances use."""
+    """Return the hashes of the tables of gateways that instances use."""
     return [
-        event.fields["digest"]
+        event.fields["table_hash"]
         for event in cluster.events.events
         if event.name is EventName.GATEWAYS_CHANGED and event.fields["n_databases"] == 3
     ]
