--- a/src/sardinemill/adapters/peer_receiver.py
+++ b/src/sardinemill/adapters/peer_receiver.py
@@ -6,7 +6,7 @@
 from ..fleet.messages import FleetQuestion
 from ..interfaces import Outlet
 from ..members import Heartbeat
-from ..sessions.gateway_messages import GatewayStatement
+from ..sessions.gateway_messages import GatewayGreeting, GatewayStatement
 
 
 class PeerCounters:
@@ -63,7 +63,7 @@
 
 
 def _introduces_sender(message: object, sender: str) -> bool:
-    if isinstance(message, FleetQuestion | GatewayStatement):
+    if isinstance(message, FleetQuestion | GatewayGreeting | GatewayStatement):
         introduction = message.introduction
         return introduction is not None and introduction.instance == sender
     return (
--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -17,7 +17,7 @@
 from ..loans import BorrowRequest, ReserveQuery
 from ..members import InstanceInfo, InstanceListQuery, MembershipChanged
 from ..pipeline import Inbox
-from ..sessions.gateway_messages import GatewayStatement
+from ..sessions.gateway_messages import GatewayGreeting, GatewayStatement
 from .peer_connection import (
     SEND_QUEUE_LENGTH,
     PeerConnection,
@@ -49,6 +49,7 @@
 _REQUEST_TYPES = (
     BorrowRequest,
     FleetQuestion,
+    GatewayGreeting,
     GatewayStatement,
     InstanceListQuery,
     ReserveQuery,
--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -49,8 +49,10 @@
         fleet_messages.FleetQuestion,
         fleet_messages.TokenGrant,
         fleet_messages.TokenRequest,
+        gateway_messages.GatewayGreeting,
         gateway_messages.GatewayOutcome,
         gateway_messages.GatewayStatement,
+        gateway_messages.GatewayWelcome,
     )
 }
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -24,7 +24,12 @@
 from .pipeline import Stage
 from .sessions.admission import Admission
 from .sessions.gateway import Gateway
-from .sessions.gateway_messages import GatewayOutcome, GatewayStatement
+from .sessions.gateway_messages import (
+    GatewayGreeting,
+    GatewayOutcome,
+    GatewayStatement,
+    GatewayWelcome,
+)
 from .sessions.manager import SessionManager
 from .sessions.messages import DrainStarted
 from .sessions.placement import Placement
@@ -273,8 +278,10 @@
                     FleetAnswer: state,
                     TokenRequest: lending,
                     TokenGrant: admission,
+                    GatewayGreeting: gateway,
                     GatewayStatement: gateway,
                     GatewayOutcome: placement,
+                    GatewayWelcome: placement,
                 }
             )
         )
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -20,7 +20,13 @@
 from .connection_pool import ConnectionLossKind, ConnectionPool
 from .connections import DEFAULT_CONNECTION_QUOTA
 from .databases import DatabaseView
-from .gateway_messages import GatewayOutcome, GatewayStatement, PeerIntroduced
+from .gateway_messages import (
+    GatewayGreeting,
+    GatewayOutcome,
+    GatewayStatement,
+    GatewayWelcome,
+    PeerIntroduced,
+)
 from .messages import Dispatch, Effect, ErrorCode, StatementRequest, TransactionStep
 from .routes import Consistency, Route, RoutesChanged
 from .work_estimate import MAX_WAIT_FRACTION, WorkEstimate, compute_concurrency
@@ -52,8 +58,8 @@
 
     Outlets: ``connections`` (commands of
     :mod:`~sardinemill.sessions.connection_messages`), ``peers``
-    (:class:`GatewayOutcome`), ``introductions`` (:class:`PeerIntroduced`), ``seen``
-    (:class:`DatabaseContact`), ``events``.
+    (:class:`GatewayOutcome`, :class:`GatewayWelcome`), ``introductions``
+    (:class:`PeerIntroduced`), ``seen`` (:class:`DatabaseContact`), ``events``.
 
     :param data_centre: of this instance.
     """
@@ -66,6 +72,7 @@
         self._request_ids = itertools.count(1)
         self._origins: dict[int, _Origin] = {}
         self._introductions: dict[str, Introduction] = {}
+        self._unwelcomed: list[str] = []
         self._next_maintenance_at = 0.0
 
     @property
@@ -76,6 +83,9 @@
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, GatewayStatement):
                 return self._handle_statement(message.peer, message.message, now)
+            if isinstance(message.message, GatewayGreeting):
+                self._unwelcomed.append(message.peer)
+                return self._introduce(message.peer, message.message.introduction)
         elif isinstance(message, StatementFinished):
             return self._handle_finished(message, now)
         elif isinstance(message, ConnectionOpened):
@@ -97,6 +107,12 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             emissions += self._pool.close_idle(now)
+            # By now the link knows the addresses of those that sent a greeting.
+            emissions += [
+                Emission("peers", PeerEnvelope(peer=peer, message=GatewayWelcome()))
+                for peer in self._unwelcomed
+            ]
+            self._unwelcomed.clear()
         return emissions
 
     # Forwarded statements
@@ -104,11 +120,7 @@
     def _handle_statement(
         self, peer: str, message: GatewayStatement, now: float
     ) -> list[Emission]:
-        emissions: list[Emission] = []
-        if self._introductions.get(peer) != message.introduction:
-            self._introductions[peer] = message.introduction
-            introduced = PeerIntroduced(message.introduction)
-            emissions.append(Emission("introductions", introduced))
+        emissions = self._introduce(peer, message.introduction)
         request = _make_request(next(self._request_ids), message, now)
         dispatch = Dispatch(
             request=request,
@@ -135,6 +147,12 @@
             *self._pool.enqueue(dispatch, now),
         ]
 
+    def _introduce(self, peer: str, introduction: Introduction) -> list[Emission]:
+        if self._introductions.get(peer) == introduction:
+            return []
+        self._introductions[peer] = introduction
+        return [Emission("introductions", PeerIntroduced(introduction))]
+
     def _find_refusal(self, dispatch: Dispatch, now: float) -> str | None:
         """Return why a statement is refused on arrival, ``None`` to queue it."""
         request, database = dispatch.request, dispatch.database
--- a/src/sardinemill/sessions/gateway_client.py
+++ b/src/sardinemill/sessions/gateway_client.py
@@ -9,10 +9,11 @@
 
 import xxhash
 
+from ..control import PeerEnvelope
 from ..fleet.gateway_table import GatewayTable
 from ..fleet.messages import Introduction
 from ..fleet.views import Identity
-from .gateway_messages import GatewayStatement
+from .gateway_messages import GatewayGreeting, GatewayStatement
 from .messages import Dispatch
 
 # A gateway that did not answer, or that does not reach a database, gets no statements
@@ -61,18 +62,30 @@
             digest = xxhash.xxh32_intdigest(identity.incarnation.encode())
             first_number = digest * N_STATEMENT_NUMBERS
         self._gateways: dict[str, str] = {}
+        self._greeted: set[str] = set()
         self._silent_until: dict[str, float] = {}
         self._unreachable_until: dict[str, float] = {}
         self._numbers = itertools.count(first_number)
         self._forwards: dict[int, Forward] = {}
 
-    def update(self, table: GatewayTable) -> None:
-        """Use another table."""
+    def update(self, table: GatewayTable) -> list[PeerEnvelope]:
+        """Use another table.
+
+        :returns: greetings to the gateways that are new in it. Opening a link takes
+            several round trips, which the first statement would wait for.
+        """
+        if self._introduction is None:
+            return []
         self._gateways = {
             database: gateway.instance
             for gateway in table.gateways
             for database in gateway.databases
         }
+        names = {gateway.instance for gateway in table.gateways}
+        new = names - self._greeted - {self._introduction.instance}
+        self._greeted = names
+        greeting = GatewayGreeting(introduction=self._introduction)
+        return [PeerEnvelope(peer=name, message=greeting) for name in sorted(new)]
 
     def find(self, database: str, now: float) -> str | None:
         """Return the gateway to forward a database's statements to, if any.
@@ -80,7 +93,7 @@
         It may be this instance itself.
         """
         gateway = self._gateways.get(database)
-        if gateway is None or self._introduction is None:
+        if gateway is None:
             return None
         if now < self._unreachable_until.get(database, NEVER):
             return None
--- a/src/sardinemill/sessions/gateway_messages.py
+++ b/src/sardinemill/sessions/gateway_messages.py
@@ -14,6 +14,21 @@
 # Between instances.
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayGreeting:
+    """The sender will forward statements; opens the link before the first of them.
+
+    :param introduction: of the sender.
+    """
+
+    introduction: Introduction
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayWelcome:
+    """Answer to a :class:`GatewayGreeting`; opens the link for the outcomes."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayStatement:
     """Statement outside a transaction, to run at one of the gateway's databases.
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -85,7 +85,7 @@
 
     Outlets: ``connections`` (commands of
     :mod:`~sardinemill.sessions.connection_messages`), ``result``
-    (:class:`StatementResult`), ``peers`` (:class:`GatewayStatement`), ``seen``
+    (:class:`StatementResult`), ``peers`` (messages to gateways), ``seen``
     (:class:`PositionSeen`, :class:`DatabaseContact`), ``events``.
 
     :param data_centre: of this instance.
@@ -144,7 +144,8 @@
         elif isinstance(message, ReachableCoordinatorsChanged):
             self._limits.n_instances = max(1, message.n_instances)
         elif isinstance(message, GatewaysChanged):
-            self._gateways.update(message.table)
+            greetings = self._gateways.update(message.table)
+            return [Emission("peers", greeting) for greeting in greetings]
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
