--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,6 +12,7 @@
 from .results import print_table, write_results
 from .slopes_fleet import measure_fleet
 from .slopes_front import measure_connections, measure_statements
+from .slopes_gateways import measure_gateways
 from .slopes_membership import measure_membership
 from .slopes_sessions import measure_sessions
 from .slopes_state import (
@@ -31,6 +32,7 @@
     "statements": measure_statements,
     "fleet": measure_fleet,
     "sessions": measure_sessions,
+    "gateways": measure_gateways,
 }
 
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -1,6 +1,6 @@
 """Tests that the measurements behind docs/CAPACITY.md still run."""
 
-from bench import slopes_sessions
+from bench import slopes_gateways, slopes_sessions
 
 
 def test_fleet_messages_are_measured():
@@ -16,3 +16,11 @@
     monkeypatch.setattr(slopes_sessions, "N_ROUNDS", 2)
     (fit,) = slopes_sessions.measure_questions()
     assert fit.quantity.startswith("ms for a round")
+
+
+def test_gateways_are_measured(monkeypatch):
+    """Guards against a measurement that fails after a change of the gateway."""
+    monkeypatch.setattr(slopes_gateways, "N_CONNECTIONS", (2, 3, 4))
+    monkeypatch.setattr(slopes_gateways, "N_DATABASES", (3, 6, 9))
+    monkeypatch.setattr(slopes_gateways, "N_STATEMENTS", 10)
+    assert len(slopes_gateways.measure_gateways()) == 5
