--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -228,9 +228,10 @@
 
 
 def test_pings_are_rare_on_many_links():
-    """Guards against pings that make up a quarter of the traffic between data centres: an
-    entry of a large fleet has links to 30 gateways, and a gateway to 195 instances. A few
-    links, as to the coordinators, are pinged every second.
+    """Guards against pings that make up a quarter of the traffic between data centres.
+
+    An entry of a large fleet has links to 30 gateways, and a gateway to 195 instances.
+    A few links, as to the coordinators, are pinged every second.
     """
     assert choose_ping_interval_seconds(3) == 1.0
     for n_links, n_pings in ((30, 15.0), (195, 50.0)):
