Let new sessions wait for the first configuration of an instance

Change: a new session waits for the first configuration, for at most 1.5 s, since clients give up after 2 s; a draining instance holds none.

Tests: four in test_sessions_manager, which failed before.

--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -33,6 +34,9 @@
 
 # Interval of the check for idle transactions.
 IDLE_CHECK_SECONDS = 0.5
+# Time for which a new session waits for the first configuration of this process. A
+# client gives up after 2 s without an answer.
+MAX_OPENING_SECONDS = 1.5
 # Workspace of clients without a known key, on routes that require none.
 ANONYMOUS_WORKSPACE = "-"
 
@@ -88,13 +92,16 @@
     def __init__(self) -> None:
         self._route_table = EMPTY_ROUTE_TABLE
         self._sessions: dict[int, _Session] = {}
+        # Sessions that wait for the first configuration, with the end of the wait.
+        self._opening: dict[int, tuple[SessionOpened, float]] = {}
         self._request_ids = itertools.count(1)
         self._next_idle_check_at = 0.0
         self._transactions_end_at: float | None = None
 
     @property
     def next_tick(self) -> float | None:
-        return self._next_idle_check_at
+        ends = (end for _, end in self._opening.values())
+        return min(self._next_idle_check_at, *ends, math.inf)
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         if isinstance(message, StatementReceived):
@@ -107,11 +114,24 @@
             return self._close_session(message.session_id)
         if isinstance(message, RoutesChanged):
             self._route_table = message.table
-        elif isinstance(message, DrainStarted):
+            return self._open_waiting(now)
+        if isinstance(message, DrainStarted):
             self._transactions_end_at = message.transactions_end_at
+            return self._open_waiting(now)
         return ()
 
     def tick(self, now: float) -> Sequence[Emission]:
+        emissions = [
+            emission
+            for message, end in list(self._opening.values())
+            if now >= end
+            for emission in self._open_now(message, now)
+        ]
+        if now >= self._next_idle_check_at:
+            emissions += self._check_idle_transactions(now)
+        return emissions
+
+    def _check_idle_transactions(self, now: float) -> list[Emission]:
         self._next_idle_check_at = now + IDLE_CHECK_SECONDS
         limit = self._route_table.configuration.transaction_idle_seconds
         drain_deadline = self._transactions_end_at
@@ -137,6 +157,26 @@
     # Sessions
 
     def _open_session(self, message: SessionOpened, now: float) -> list[Emission]:
+        """Open a session, or let it wait for the first configuration.
+
+        Load pattern: a common restart. Clients reconnect before the instance has
+        learned the configuration, which takes some hundred milliseconds.
+        """
+        is_draining = self._transactions_end_at is not None
+        if self._route_table.version or is_draining:
+            return self._open_now(message, now)
+        self._opening[message.session_id] = (message, now + MAX_OPENING_SECONDS)
+        return []
+
+    def _open_waiting(self, now: float) -> list[Emission]:
+        return [
+            emission
+            for message, _ in list(self._opening.values())
+            for emission in self._open_now(message, now)
+        ]
+
+    def _open_now(self, message: SessionOpened, now: float) -> list[Emission]:
+        self._opening.pop(message.session_id, None)
         _, refusal = self._resolve_route(message.database, message.key)
         if refusal is not None:
             code, text = refusal
@@ -155,6 +195,7 @@
         return [Emission("client", SessionAccepted(message.session_id))]
 
     def _close_session(self, session_id: int) -> list[Emission]:
+        self._opening.pop(session_id, None)
         session = self._sessions.pop(session_id, None)
         return [] if session is None else self._abandon_transaction(session)
 
--- a/tests/test_sessions_manager.py
+++ b/tests/test_sessions_manager.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sardinemill.positions import LogPosition
-from sardinemill.sessions.manager import SessionManager
+from sardinemill.sessions.manager import MAX_OPENING_SECONDS, SessionManager
 from sardinemill.sessions.messages import (
     DrainStarted,
     Effect,
@@ -279,3 +279,53 @@
     send(manager, BEGIN)
     complete(manager, get_request(send(manager, WRITE)))
     assert get_request(send(manager, COMMIT)).has_begun
+
+
+def test_session_waits_for_the_first_configuration():
+    """Guards against refusals after a common restart: clients reach an instance some
+    hundred milliseconds before it has learned the configuration.
+    """
+    manager = SessionManager()
+    assert manager.handle(SessionOpened(1, "bookings", KEY), NOW) == []
+    assert manager.handle(SessionOpened(2, "unknown", KEY), NOW) == []
+    manager.handle(SessionClosed(3), NOW)
+    emissions = manager.handle(make_routes_changed(), NOW + 0.4)
+    assert select(emissions, "client", SessionAccepted) == [SessionAccepted(1)]
+    (refused,) = select(emissions, "client", SessionRefused)
+    assert (refused.session_id, refused.code) == (2, ErrorCode.NO_DATABASE)
+    assert get_request(send(manager, READ)).workspace == "hives"
+
+
+def test_session_that_waits_in_vain_is_refused_before_its_client_leaves():
+    """Guards against clients that wait for an instance which learns nothing; they give
+    up after 2 s without an answer, and a refusal sends them elsewhere.
+    """
+    manager = SessionManager()
+    manager.tick(NOW)
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    manager.handle(SessionOpened(2, "bookings", KEY), NOW + 0.5)
+    end = NOW + MAX_OPENING_SECONDS
+    assert NOW < manager.next_tick <= end < NOW + 2
+    (refused,) = select(manager.tick(end), "client", SessionRefused)
+    assert (refused.session_id, refused.code) == (1, ErrorCode.BUSY)
+    assert manager.next_tick <= end + 0.5
+
+
+def test_session_that_leaves_while_it_waits_is_forgotten():
+    """Guards against an answer to a connection that is closed."""
+    manager = SessionManager()
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    manager.handle(SessionClosed(1), NOW + 0.1)
+    assert select(manager.handle(make_routes_changed(), NOW + 0.4), "client") == []
+
+
+def test_draining_instance_holds_no_session():
+    """Guards against sessions that wait at an instance which is about to stop."""
+    manager = SessionManager()
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    emissions = manager.handle(DrainStarted(NOW + 1), NOW)
+    assert [item.session_id for item in select(emissions, "client")] == [1]
+    (refused,) = select(
+        manager.handle(SessionOpened(2, "bookings", KEY), NOW), "client", SessionRefused
+    )
+    assert refused.code is ErrorCode.BUSY
