Give a statement a result when its connection ended before the statement was sent

Cause: found by reading the connection pool. A connection that ends while idle is reported by a message; a statement that is assigned to it before that message is handled went to a task that had ended. Placement then removed the connection with its statement, which got no result: the client waited until its own time limit.

Change: such a statement was certainly not sent, so it is repeated on another connection, also a write; within a transaction it is refused. Parameter is_gateway_failure is now is_database_usable, for both reasons. One class has the limits of both pools; a gateway without connections has no timer.

Tests: write, read, transaction and forwarded statement; all failed before (no result).

--- a/src/sardinemill/sessions/connection_pool.py
+++ b/src/sardinemill/sessions/connection_pool.py
@@ -5,9 +5,9 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
 
 from ..fleet.records import DatabaseEntry
 from ..interfaces import Emission
@@ -22,12 +22,14 @@
     StatementFinished,
 )
 from .connections import (
+    DEFAULT_CONNECTION_QUOTA,
     OVER_QUOTA_LIMIT,
     Connection,
     PoolState,
     apply_setup,
     plan_setup,
 )
+from .databases import DatabaseView
 from .messages import Dispatch, ErrorCode, TransactionStep
 
 # Pause before the next attempt to connect to a database at its connection limit.
@@ -35,24 +37,46 @@
 NEVER = float("-inf")
 
 
-class PoolLimits(Protocol):
-    """Limits of a connection pool for each database."""
+class PoolLimits:
+    """Limits of a pool: a share of the connections that each database accepts.
+
+    :param databases: view of the databases, which the owner of the pool updates.
+    :param share: fraction of a database's connections that may stay open while idle.
+    :param statements_per_slot: bound of the statements that run at a database at the
+        same time; by default none.
+    :ivar max_connections: connection limit of each database, by group.
+    """
+
+    def __init__(
+        self,
+        databases: DatabaseView,
+        share: float,
+        statements_per_slot: float = math.inf,
+    ) -> None:
+        self._databases = databases
+        self._statements_per_slot = statements_per_slot
+        self.share = share
+        self.max_connections: Mapping[str, int] = {}
 
     def find_entry(self, database: str, now: float) -> DatabaseEntry | None:
         """Return the entry of a database, ``None`` if it must not be used."""
-        ...
+        return self._databases.find_entry(database, now)
 
     def list_quotas(self) -> dict[str, float]:
         """Return the connections that may stay open while idle, by database."""
-        ...
+        return {
+            item.name: self.compute_quota(item)
+            for item in self._databases.directory.databases
+        }
 
     def compute_quota(self, entry: DatabaseEntry) -> float:
         """Return the connections to a database that may stay open while idle."""
-        ...
+        limit = self.max_connections.get(entry.group)
+        return DEFAULT_CONNECTION_QUOTA if limit is None else limit * self.share
 
     def compute_concurrency(self, entry: DatabaseEntry) -> float:
         """Return how many statements may run at a database at the same time."""
-        ...
+        return max(1, entry.n_slots) * self._statements_per_slot
 
 
 class ConnectionLossKind(StrEnum):
@@ -67,7 +91,9 @@
 class ConnectionLoss:
     """Connection that could not be opened, or was lost while idle.
 
-    :param dispatches: statements that waited for the database, if it is unreachable.
+    :param dispatches: statements that were certainly not sent: those that waited for
+        the database, if it is unreachable, or one that was assigned to the connection
+        before its end was known.
     """
 
     database: str
@@ -247,7 +273,8 @@
             return ConnectionLoss(database, ConnectionLossKind.FULL)
         if connection.is_open:
             # An idle connection that ends is no sign of a failed database.
-            return ConnectionLoss(database, ConnectionLossKind.IDLE)
+            assigned = () if connection.dispatch is None else (connection.dispatch,)
+            return ConnectionLoss(database, ConnectionLossKind.IDLE, assigned)
         dispatches = tuple(self._state.list_queued(database))
         for dispatch in dispatches:
             self._state.remove_queued(dispatch)
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -100,6 +100,11 @@
         """Return a connection, ``None`` once it is closed."""
         return self._connections.get(connection_id)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no connection and no queued statement."""
+        return not self._connections and not any(self._queues.values())
+
     def find_pinned(self, session_id: int) -> Connection | None:
         """Return the connection that the transaction of a session pins, if any."""
         for item in self._connections.values():
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -1,13 +1,12 @@
 """Filter of a gateway: owns shared connections and runs statements of all instances."""
 
 import itertools
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..control import PeerEnvelope
 from ..events import Event, EventName
 from ..fleet.messages import Introduction
-from ..fleet.records import DatabaseEntry
 from ..fleet.views import DatabaseContact, DirectoryChanged
 from ..interfaces import Emission
 from ..positions import ORIGIN
@@ -17,8 +16,7 @@
     StatementFinished,
     classify_effect,
 )
-from .connection_pool import ConnectionLossKind, ConnectionPool
-from .connections import DEFAULT_CONNECTION_QUOTA
+from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
 from .databases import DatabaseView
 from .gateway_messages import (
     GatewayGreeting,
@@ -29,7 +27,11 @@
 )
 from .messages import Dispatch, Effect, ErrorCode, StatementRequest, TransactionStep
 from .routes import Consistency, Route, RoutesChanged
-from .work_estimate import MAX_WAIT_FRACTION, WorkEstimate, compute_concurrency
+from .work_estimate import (
+    MAX_WAIT_FRACTION,
+    STATEMENTS_PER_SLOT,
+    WorkEstimate,
+)
 
 # Fraction of a database's connection limit that its gateway may keep open. The rest is
 # for transactions, whose connections the other instances open themselves.
@@ -66,17 +68,22 @@
 
     def __init__(self, data_centre: str) -> None:
         self._databases = DatabaseView(data_centre)
-        self._limits = _GatewayLimits(self._databases)
+        self._limits = PoolLimits(
+            self._databases, GATEWAY_QUOTA_FRACTION, STATEMENTS_PER_SLOT
+        )
         self._pool = ConnectionPool(self._limits)
         self._work: dict[str, WorkEstimate] = {}
         self._request_ids = itertools.count(1)
         self._origins: dict[int, _Origin] = {}
         self._introductions: dict[str, Introduction] = {}
-        self._unwelcomed: list[str] = []
+        self._peers_to_welcome: list[str] = []
         self._next_maintenance_at = 0.0
 
     @property
     def next_tick(self) -> float | None:
+        # Most instances are no gateway and need not wake up for it.
+        if self._pool.state.is_empty and not self._peers_to_welcome:
+            return None
         return min(self._next_maintenance_at, self._pool.find_next_tick())
 
     def handle(self, message: object, now: float) -> Sequence[Emission]:
@@ -84,7 +91,7 @@
             if isinstance(message.message, GatewayStatement):
                 return self._handle_statement(message.peer, message.message, now)
             if isinstance(message.message, GatewayGreeting):
-                self._unwelcomed.append(message.peer)
+                self._peers_to_welcome.append(message.peer)
                 return self._introduce(message.peer, message.message.introduction)
         elif isinstance(message, StatementFinished):
             return self._handle_finished(message, now)
@@ -110,9 +117,9 @@
             # By now the link knows the addresses of those that sent a greeting.
             emissions += [
                 Emission("peers", PeerEnvelope(peer=peer, message=GatewayWelcome()))
-                for peer in self._unwelcomed
+                for peer in self._peers_to_welcome
             ]
-            self._unwelcomed.clear()
+            self._peers_to_welcome.clear()
         return emissions
 
     # Forwarded statements
@@ -165,7 +172,7 @@
         estimate = self._work.get(database)
         # Without a queue the statement is tried, since the estimate may be too high
         # after a pause of this process.
-        if estimate is None or n_ahead < compute_concurrency(entry.n_slots):
+        if estimate is None or n_ahead < self._limits.compute_concurrency(entry):
             return None
         wait = estimate.estimate_wait(n_ahead, entry.n_slots, now)
         if wait <= request.route.timeout_seconds * MAX_WAIT_FRACTION:
@@ -271,9 +278,11 @@
             return []
         if loss.kind is ConnectionLossKind.FULL:
             return self._emit_contact(loss.database, True, now)
-        if loss.kind is ConnectionLossKind.IDLE:
-            return self._pool.assign(loss.database, now)
         emissions: list[Emission] = []
+        if loss.kind is ConnectionLossKind.IDLE:
+            for dispatch in loss.dispatches:
+                emissions += self._pool.enqueue(dispatch, now)
+            return emissions + self._pool.assign(loss.database, now)
         if message.code is None:
             emissions += self._emit_contact(loss.database, False, now)
         for dispatch in loss.dispatches:
@@ -296,32 +305,6 @@
         return [Emission("seen", DatabaseContact(database, is_alive, now))]
 
 
-class _GatewayLimits:
-    """Pool limits of a gateway: a large share of the connections of its databases."""
-
-    def __init__(self, databases: DatabaseView) -> None:
-        self._databases = databases
-        self.max_connections: Mapping[str, int] = {}
-
-    def find_entry(self, database: str, now: float) -> DatabaseEntry | None:
-        return self._databases.find_entry(database, now)
-
-    def list_quotas(self) -> dict[str, float]:
-        return {
-            item.name: self.compute_quota(item)
-            for item in self._databases.directory.databases
-        }
-
-    def compute_quota(self, entry: DatabaseEntry) -> float:
-        limit = self.max_connections.get(entry.group)
-        if limit is None:
-            return DEFAULT_CONNECTION_QUOTA
-        return limit * GATEWAY_QUOTA_FRACTION
-
-    def compute_concurrency(self, entry: DatabaseEntry) -> float:
-        return compute_concurrency(entry.n_slots)
-
-
 def _make_request(
     request_id: int, message: GatewayStatement, now: float
 ) -> StatementRequest:
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -1,7 +1,6 @@
 """Filter that assigns a database and a connection to each statement."""
 
-import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from ..control import PeerEnvelope
 from ..events import Event, EventName
@@ -24,8 +23,8 @@
     StatementFinished,
     classify_effect,
 )
-from .connection_pool import ConnectionLossKind, ConnectionPool
-from .connections import DEFAULT_CONNECTION_QUOTA, QUOTA_FRACTION, Connection
+from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
+from .connections import QUOTA_FRACTION, Connection
 from .databases import DatabaseView
 from .gateway_client import Forward, GatewayClient
 from .gateway_messages import GatewayOutcome
@@ -100,7 +99,7 @@
         identity: Identity | None = None,
     ) -> None:
         self._databases = DatabaseView(data_centre, instance)
-        self._limits = _InstanceLimits(self._databases)
+        self._limits = PoolLimits(self._databases, QUOTA_FRACTION)
         self._pool = ConnectionPool(self._limits)
         self._gateways = GatewayClient(identity)
         self._pending: dict[int, _PendingStatement] = {}
@@ -142,7 +141,7 @@
         elif isinstance(message, RoutesChanged):
             self._limits.max_connections = message.table.max_connections
         elif isinstance(message, ReachableCoordinatorsChanged):
-            self._limits.n_instances = max(1, message.n_instances)
+            self._limits.share = QUOTA_FRACTION / max(1, message.n_instances)
         elif isinstance(message, GatewaysChanged):
             greetings = self._gateways.update(message.table)
             return [Emission("peers", greeting) for greeting in greetings]
@@ -310,13 +309,15 @@
             return []
         if loss.kind is ConnectionLossKind.FULL:
             return self._emit_contact(loss.database, now)
-        if loss.kind is ConnectionLossKind.IDLE:
-            return self._pool.assign(loss.database, now)
         emissions: list[Emission] = []
-        self._databases.record_failure(loss.database, now)
-        if message.code is None:
-            contact = DatabaseContact(loss.database, False, now)
-            emissions.append(Emission("seen", contact))
+        is_idle = loss.kind is ConnectionLossKind.IDLE
+        if is_idle:
+            emissions += self._pool.assign(loss.database, now)
+        else:
+            self._databases.record_failure(loss.database, now)
+            if message.code is None:
+                contact = DatabaseContact(loss.database, False, now)
+                emissions.append(Emission("seen", contact))
         for dispatch in loss.dispatches:
             emissions += self._finish_attempt(
                 dispatch.request,
@@ -324,6 +325,7 @@
                 now,
                 code=message.code,
                 message=message.message,
+                is_database_usable=is_idle,
             )
         return emissions
 
@@ -355,7 +357,7 @@
         message: StatementFinished,
         effect: Effect,
         now: float,
-        is_gateway_failure: bool = False,
+        is_database_usable: bool = False,
     ) -> list[Emission]:
         """Emit the result of a statement that succeeded, or end its attempt."""
         request = pending.request
@@ -372,7 +374,7 @@
                 message=message.message,
                 is_answered=message.is_answered,
                 effect=effect,
-                is_gateway_failure=is_gateway_failure,
+                is_database_usable=is_database_usable,
             )
         if self._is_late_write(request, database, now):
             return emissions + self._finish_attempt(
@@ -435,7 +437,7 @@
             finished,
             outcome.effect,
             now,
-            is_gateway_failure=outcome.is_unreachable,
+            is_database_usable=outcome.is_unreachable,
         )
 
     def _handle_silent_gateway(self, forward: Forward, now: float) -> list[Emission]:
@@ -448,7 +450,7 @@
             now,
             message=f"the gateway {forward.gateway} did not answer",
             effect=Effect.UNKNOWN if is_write else Effect.ROLLED_BACK,
-            is_gateway_failure=True,
+            is_database_usable=True,
         )
 
     def _is_late_write(
@@ -500,23 +502,22 @@
         message: str = "",
         is_answered: bool = False,
         effect: Effect = Effect.NOT_RUN,
-        is_gateway_failure: bool = False,
+        is_database_usable: bool = False,
     ) -> list[Emission]:
         """Retry the statement at another database, or emit its final result.
 
-        :param is_gateway_failure: the gateway is silent or does not reach the database,
-            which may be tried again without it.
+        :param is_database_usable: not the database failed, but a gateway or an idle
+            connection; it may be tried again.
         """
         pending = self._pending.get(request.request_id)
         if pending is None:
             return []
         if code is ErrorCode.STALE:
             self._databases.record_lag(database, now)
-        if not is_gateway_failure:
+        if not is_database_usable:
             pending.tried.add(database)
-        # Without the gateway even a write may be repeated, if it certainly did not run.
-        may_bypass = is_gateway_failure and effect is Effect.NOT_RUN
-        if may_bypass or self._may_retry(pending, code, effect, now):
+        may_repeat = is_database_usable and _may_repeat(pending, effect, now)
+        if may_repeat or self._may_retry(pending, code, effect, now):
             fields = {
                 "request_id": request.statement_id,
                 "group": request.route.group,
@@ -566,28 +567,12 @@
         return request.step is TransactionStep.FIRST and effect is Effect.NOT_RUN
 
 
-class _InstanceLimits:
-    """Pool limits of one instance: its share of each database's connections."""
-
-    def __init__(self, databases: DatabaseView) -> None:
-        self._databases = databases
-        self.max_connections: Mapping[str, int] = {}
-        self.n_instances = 1
-
-    def find_entry(self, database: str, now: float) -> DatabaseEntry | None:
-        return self._databases.find_entry(database, now)
-
-    def list_quotas(self) -> dict[str, float]:
-        return {
-            item.name: self.compute_quota(item)
-            for item in self._databases.directory.databases
-        }
-
-    def compute_quota(self, entry: DatabaseEntry) -> float:
-        limit = self.max_connections.get(entry.group)
-        if limit is None:
-            return DEFAULT_CONNECTION_QUOTA
-        return limit * QUOTA_FRACTION / self.n_instances
-
-    def compute_concurrency(self, entry: DatabaseEntry) -> float:
-        return math.inf
+def _may_repeat(pending: _PendingStatement, effect: Effect, now: float) -> bool:
+    """Return whether a statement, even a write, may use another connection."""
+    request = pending.request
+    return (
+        effect is Effect.NOT_RUN
+        and request.step in (TransactionStep.NONE, TransactionStep.FIRST)
+        and pending.n_attempts <= MAX_ATTEMPTS
+        and now < request.deadline
+    )
--- a/src/sardinemill/sessions/work_estimate.py
+++ b/src/sardinemill/sessions/work_estimate.py
@@ -58,8 +58,3 @@
         if now - self._updated_at > MAX_ESTIMATE_AGE_SECONDS:
             return 0.0
         return self._work_seconds * STATEMENTS_PER_SLOT
-
-
-def compute_concurrency(n_slots: int) -> int:
-    """Return the number of statements that a gateway keeps at a database."""
-    return STATEMENTS_PER_SLOT * max(1, n_slots)
--- a/tests/gateway_network.py
+++ b/tests/gateway_network.py
@@ -132,7 +132,7 @@
             self.now = round(self.now + 0.01, 3)
             for instance in self.instances.values():
                 for stage in (instance.placement, instance.gateway):
-                    if stage.next_tick <= self.now:
+                    if stage.next_tick is not None and stage.next_tick <= self.now:
                         self.process(instance, stage.tick(self.now), stage)
 
     def process(self, instance, emissions, stage):
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -7,6 +7,7 @@
 from sardinemill.fleet.primary_lease import PRIMARY_LEASE_SECONDS
 from sardinemill.positions import LogPosition
 from sardinemill.sessions import gateway as gateway_module
+from sardinemill.sessions.connection_messages import ConnectionFailed
 from sardinemill.sessions.connections import SetupStep
 from sardinemill.sessions.gateway import Gateway
 from sardinemill.sessions.gateway_messages import GatewayOutcome, GatewayStatement
@@ -500,3 +501,35 @@
     network.announce({**GATEWAYS, "p": "e0"})
     network.advance(0.2)
     assert network.n_messages == {"GatewayGreeting": 16, "GatewayWelcome": 16}
+
+
+def test_instance_that_is_no_gateway_does_not_wake_up_for_it():
+    """Guards against processor time for a role that most instances do not have."""
+    gateway = Gateway("x")
+    assert gateway.next_tick is None
+    network = make_network()
+    network.advance(0.2)
+    assert network.instances["e0"].gateway.next_tick is None
+    network.request("e0", make_write())
+    assert network.instances["gp"].gateway.next_tick is not None
+
+
+def test_forwarded_statement_on_a_connection_that_ended_meanwhile_is_repeated():
+    """Guards against a forwarded statement without an outcome, which its entry would
+    take for a silent gateway and a write in doubt.
+    """
+    network = make_network()
+    network.request("e0", make_write(1))
+    gateway = network.instances["gp"]
+    network.holds_answers = True
+    network.request("e0", make_write(2))
+    run = gateway.runs[-1]
+    lost = ConnectionFailed(run.connection_id, None, "ended while idle")
+    emissions = gateway.gateway.handle(lost, network.now)
+    network.process(gateway, emissions, gateway.gateway)
+    again = gateway.runs[-1]
+    assert again.connection_id != run.connection_id
+    assert again.dispatch == run.dispatch
+    network.answer(gateway, again)
+    results = network.instances["e0"].results
+    assert [result.code for result in results] == [None, None]
--- a/tests/test_sessions_placement.py
+++ b/tests/test_sessions_placement.py
@@ -28,6 +28,7 @@
     COMMIT,
     DATABASES,
     LOGS_ROUTE,
+    READ,
     STATUS_ROUTE,
     WRITE,
     make_confirmed,
@@ -400,3 +401,64 @@
         chosen[run.dispatch.database] += 1
     assert set(chosen) == {"r1", "r2"}
     assert min(chosen.values()) >= 15
+
+
+def open_idle_connection(placement):
+    """Run a write and return the connection that it leaves idle."""
+    run = run_request(placement, make_statement_request(1, WRITE, BOOKINGS_ROUTE))
+    placement.handle(make_finished(run), NOW)
+    return run.connection_id
+
+
+def test_statement_on_a_connection_that_ended_meanwhile_is_repeated():
+    """Guards against a statement without any result: its connection has ended while it
+    was idle, and the statement was assigned before that was known. It was not sent, so
+    even a write may use another connection.
+    """
+    placement = make_placement()
+    connection_id = open_idle_connection(placement)
+    request = make_statement_request(2, WRITE, BOOKINGS_ROUTE)
+    emissions = placement.handle(request, NOW)
+    (run,) = select(emissions, "connections", RunStatement)
+    assert run.connection_id == connection_id
+    lost = ConnectionFailed(connection_id, None, "ended while idle")
+    emissions = placement.handle(lost, NOW)
+    assert select(emissions, "result") == []
+    (again,) = open_all(placement, emissions)
+    assert again.dispatch.request == request
+    # The connection task may report the lost command as well.
+    late = make_finished(run, is_answered=False, is_usable=False, asked_at=0.0)
+    assert placement.handle(late, NOW) == []
+
+
+def test_transaction_on_a_connection_that_ended_meanwhile_fails():
+    """Guards against a transaction that continues on another connection, and against
+    its statement getting no result.
+    """
+    placement = make_placement()
+    first = make_statement_request(
+        1, WRITE, BOOKINGS_ROUTE, step=TransactionStep.FIRST, session_id=7
+    )
+    run = run_request(placement, first)
+    placement.handle(make_finished(run), NOW)
+    later = make_statement_request(
+        2, WRITE, BOOKINGS_ROUTE, step=TransactionStep.LATER, session_id=7
+    )
+    placement.handle(later, NOW)
+    lost = ConnectionFailed(run.connection_id, None, "ended while idle")
+    (result,) = select(placement.handle(lost, NOW), "result", StatementResult)
+    assert (result.request, result.effect) == (later, Effect.NOT_RUN)
+    assert result.code is ErrorCode.BUSY
+
+
+def test_read_on_a_connection_that_ended_meanwhile_is_repeated():
+    """Guards against a refusal where another connection can run the read."""
+    placement = make_placement(seen_at=None)
+    connection_id = open_idle_connection(placement)
+    request = make_statement_request(2, READ, BOOKINGS_ROUTE)
+    placement.handle(request, NOW)
+    lost = ConnectionFailed(connection_id, None, "ended while idle")
+    emissions = placement.handle(lost, NOW)
+    assert select(emissions, "result") == []
+    (run,) = open_all(placement, emissions)
+    assert run.dispatch.request == request
