--- a/src/sardinemill/fleet/gateway_table.py
+++ b/src/sardinemill/fleet/gateway_table.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Gateway:
+class GatewayEntry:
     """Instance that is the gateway of some databases.
 
     :param databases: names of the databases.
@@ -63,7 +63,7 @@
 class GatewayTable:
     """Gateways of the fleet, in the order of their names."""
 
-    gateways: tuple[Gateway, ...] = ()
+    gateways: tuple[GatewayEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,7 +179,7 @@
     by_name = {item.instance: item for item in eligible}
     return GatewayTable(
         gateways=tuple(
-            Gateway(
+            GatewayEntry(
                 instance=name,
                 host=by_name[name].host,
                 port=by_name[name].port,
--- a/src/sardinemill/sessions/connection_messages.py
+++ b/src/sardinemill/sessions/connection_messages.py
@@ -1,4 +1,4 @@
-"""Frozen messages between placement and the tasks that own database connections."""
+"""Frozen messages between the owners of pools and the tasks that own connections."""
 
 from dataclasses import dataclass, field
 
@@ -12,7 +12,7 @@
 class OpenConnection:
     """Asks for a connection that acts for a workspace.
 
-    :param connection_id: chosen by placement; later messages repeat it.
+    :param connection_id: chosen by the owner of the pool; later messages repeat it.
     """
 
     connection_id: int
--- a/src/sardinemill/sessions/gateway_client.py
+++ b/src/sardinemill/sessions/gateway_client.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Forward:
+class ForwardedStatement:
     """Forwarded statement without an outcome.
 
     :param gateway: name of the instance.
@@ -66,7 +66,7 @@
         self._silent_until: dict[str, float] = {}
         self._unreachable_until: dict[str, float] = {}
         self._numbers = itertools.count(first_number)
-        self._forwards: dict[int, Forward] = {}
+        self._forwards: dict[int, ForwardedStatement] = {}
 
     def update(self, table: GatewayTable) -> list[PeerEnvelope]:
         """Use another table.
@@ -113,7 +113,7 @@
         """Register a statement that is forwarded now and return the message."""
         assert self._introduction is not None
         request = dispatch.request
-        forward = Forward(next(self._numbers), gateway, dispatch, now)
+        forward = ForwardedStatement(next(self._numbers), gateway, dispatch, now)
         self._forwards[forward.number] = forward
         return GatewayStatement(
             number=forward.number,
@@ -133,7 +133,7 @@
             session_variables=request.session_variables,
         )
 
-    def finish(self, gateway: str, number: int) -> Forward | None:
+    def finish(self, gateway: str, number: int) -> ForwardedStatement | None:
         """Remove a forwarded statement whose outcome has arrived.
 
         :returns: ``None`` when it was given up, or forwarded to another instance.
@@ -143,7 +143,7 @@
             return None
         return self._forwards.pop(number)
 
-    def expire(self, now: float) -> list[Forward]:
+    def expire(self, now: float) -> list[ForwardedStatement]:
         """Remove and return the statements whose attempt deadline has passed.
 
         Their gateways count as silent.
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -26,7 +26,7 @@
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
 from .connections import QUOTA_FRACTION, Connection
 from .databases import DatabaseView
-from .gateway_client import Forward, GatewayClient
+from .gateway_client import ForwardedStatement, GatewayClient
 from .gateway_messages import GatewayOutcome
 from .messages import (
     Dispatch,
@@ -440,7 +440,9 @@
             is_database_usable=outcome.is_unreachable,
         )
 
-    def _handle_silent_gateway(self, forward: Forward, now: float) -> list[Emission]:
+    def _handle_silent_gateway(
+        self, forward: ForwardedStatement, now: float
+    ) -> list[Emission]:
         """End an attempt whose gateway gave no outcome; it may have run."""
         request = forward.dispatch.request
         is_write = not request.is_read_only
--- a/src/sardinemill/sessions/work_estimate.py
+++ b/src/sardinemill/sessions/work_estimate.py
@@ -8,6 +8,8 @@
 STATEMENTS_PER_SLOT = 2
 # Time constant of the smoothed work time.
 WORK_WINDOW_SECONDS = 1.0
+# Time for which a statement counts at least, also if others ended just before it.
+MIN_SAMPLE_SECONDS = 0.02
 # Estimate that is older than this says nothing: the database may be fast again.
 MAX_ESTIMATE_AGE_SECONDS = 2.0
 # Fraction of its time-out that a statement may be expected to wait. What is accepted
@@ -36,7 +38,7 @@
         """
         work = seconds * min(1.0, n_slots / max(1, n_running))
         elapsed = now - self._updated_at
-        weight = 1.0 - math.exp(-max(elapsed, 0.02) / WORK_WINDOW_SECONDS)
+        weight = 1.0 - math.exp(-max(elapsed, MIN_SAMPLE_SECONDS) / WORK_WINDOW_SECONDS)
         self._work_seconds += (work - self._work_seconds) * weight
         self._updated_at = now
 
--- a/tests/gateway_network.py
+++ b/tests/gateway_network.py
@@ -4,8 +4,7 @@
 
 from sardinemill.codecs import decode_message, encode_message
 from sardinemill.control import PeerEnvelope
-from sardinemill.fleet.gateway_table import Gateway as GatewayRow
-from sardinemill.fleet.gateway_table import GatewaysChanged, GatewayTable
+from sardinemill.fleet.gateway_table import GatewayEntry, GatewaysChanged, GatewayTable
 from sardinemill.fleet.views import (
     Identity,
     PositionSeen,
@@ -34,7 +33,7 @@
 def make_table(gateways):
     """Return the message that announces the gateway of each database."""
     rows = tuple(
-        GatewayRow(instance=name, host="10.0.0.9", port=7000, databases=(database,))
+        GatewayEntry(instance=name, host="10.0.0.9", port=7000, databases=(database,))
         for database, name in gateways.items()
     )
     return GatewaysChanged(GatewayTable(gateways=rows))
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -7,7 +7,7 @@
 from sardinemill.codecs import decode_message, encode_message
 from sardinemill.control import ForwardedReply, ForwardedRequest
 from sardinemill.errors import Outcome
-from sardinemill.fleet.gateway_table import Gateway, GatewayTable
+from sardinemill.fleet.gateway_table import GatewayEntry, GatewayTable
 from sardinemill.fleet.messages import (
     ContactReport,
     FleetAnswer,
@@ -73,7 +73,9 @@
         configuration=make_configuration(),
         directory=make_directory().directory,
         gateways=GatewayTable(
-            gateways=(Gateway(instance="a", host="h", port=1, databases=("p", "r1")),)
+            gateways=(
+                GatewayEntry(instance="a", host="h", port=1, databases=("p", "r1")),
+            )
         ),
     )
     introduction = Introduction(instance="a", data_centre="x", host="h", port=1)
