--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -65,4 +65,8 @@
         plan=SoakPlan(seed=322, seconds=20.0),
         cause="soak: the tolerance of the rate limit left out the burst",
     ),
+    Regression(
+        plan=SoakPlan(seed=1796437835),
+        cause="open: two lenders of a workspace while the list of coordinators changes",
+    ),
 )
