--- a/tests/test_gateway_table.py
+++ b/tests/test_gateway_table.py
@@ -52,7 +52,12 @@
     instances, and against statements that open a connection each where the databases
     lack the slots for it.
     """
-    sizes = {"small": (19, 49), "large": (195, 135), "target": (620, 50)}
+    sizes = {
+        "small": (19, 49),
+        "grown": (128, 493),
+        "large": (195, 135),
+        "target": (620, 50),
+    }
     scarce = {}
     for name, (n_instances, limit) in sizes.items():
         directory = Directory(databases=tuple(make_databases(2)))
@@ -60,6 +65,7 @@
         scarce[name] = list_scarce_databases(directory, limits, n_instances)
     assert {name: len(items) for name, items in scarce.items()} == {
         "small": 0,
+        "grown": 0,
         "large": 0,
         "target": 6,
     }
