--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -672,22 +672,37 @@
 # Instances
 
 
-def _find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def _choose_host(number: int) -> str:
+    """Return a loopback address of one instance.
+
+    Outgoing connections use ports of 127.0.0.1 and cannot take those of an instance.
+    """
+    run = os.getpid()
+    return f"127.{run // 250 % 250 + 1}.{run % 250 + 1}.{number + 1}"
+
+
+def _find_free_ports(host: str, n_ports: int) -> list[int]:
+    """Return different ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(n_ports)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 class Instance:
     """One instance as a process of its own."""
 
-    def __init__(self, name: str, zone: str, platform: Platform, folder: Path) -> None:
+    def __init__(
+        self, name: str, number: int, zone: str, platform: Platform, folder: Path
+    ) -> None:
         self.name = name
+        self.host = _choose_host(number)
         self.zone = zone
         self._platform = platform
         self._folder = folder
-        self._ports = [_find_free_port() for _ in range(4)]
-        self.front = ("127.0.0.1", self._ports[0])
+        self._ports = _find_free_ports(self.host, 4)
+        self.front = (self.host, self._ports[0])
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -697,10 +712,10 @@
             "role": "proxy",
             "machine_class": "front",
             "serves": "front",
-            "ip": "127.0.0.1",
+            "ip": self.host,
             "zone": self.zone,
-            "listen.front": f"127.0.0.1:{front}",
-            "listen.ready": f"127.0.0.1:{ready}",
+            "listen.front": f"{self.host}:{front}",
+            "listen.ready": f"{self.host}:{ready}",
             "internal_ports": f"{peer},{metrics}",
             "heartbeat_ms": int(HEARTBEAT_SECONDS * 1000),
             "bounds.stable_window_ms": 4000,
@@ -733,7 +748,7 @@
         try:
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", self._ports[1]
+                    self.host, self._ports[1]
                 )
                 writer.write(
                     b"GET /sardinemill/readiness HTTP/1.1\r\nHost: x\r\n"
@@ -787,7 +802,9 @@
         return group
 
     def add_instance(self, name: str, zone: str) -> Instance:
-        instance = Instance(name, zone, self.platform, self._folder)
+        instance = Instance(
+            name, len(self.instances), zone, self.platform, self._folder
+        )
         self.instances.append(instance)
         return instance
 
