--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -93,6 +93,7 @@
     """Object store and promotion calls.
 
     :ivar delay_seconds: delay of each answer of the store.
+    :ivar promotion_delay_seconds: delay of each answer to a promotion call.
     :ivar on_write: called with kind, name and spec after each write of an instance.
     """
 
@@ -106,6 +107,7 @@
         self.promotions: list[Promotion] = []
         self.promote = lambda group, database: False
         self.delay_seconds = 0.004
+        self.promotion_delay_seconds = 0.004
         self.on_write = lambda kind, name, spec: None
 
     async def start(self) -> None:
@@ -145,7 +147,10 @@
                 data = await reader.readexactly(length) if length else b""
                 body = json.loads(data) if data else None
                 status, answer = self._handle(method, target, headers, body)
-                await asyncio.sleep(self.delay_seconds)
+                is_promotion = target.startswith("/promotion")
+                await asyncio.sleep(
+                    self.promotion_delay_seconds if is_promotion else self.delay_seconds
+                )
                 content = b"" if answer is None else json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -250,6 +255,9 @@
     :ivar log: commits that it has received.
     :ivar n_applied: number of them that it has applied, which reads see.
     :ivar runs: statement id, text and tenant of each statement of a client that ran.
+    :ivar superseded_commits: ids of the statements that committed a write here after
+        the promotion of another database had taken effect.
+    :ivar is_busy: it has no slot for ``STATUS``.
     :ivar work_seconds: time that a read, write or commit takes.
     """
 
@@ -264,6 +272,8 @@
         self.is_draining = False
         self.born = int(time.time() * 1000)
         self.runs: list[tuple[str, str, str]] = []
+        self.superseded_commits: dict[str, float] = {}
+        self.is_busy = False
         self.work_seconds = 0.003
         self.port = 0
         self._sequence = 0
@@ -391,7 +401,10 @@
     async def _run(self, connection, statement_id, text) -> list[str]:
         async with self._slots:
             await asyncio.sleep(self.work_seconds)
+            n_commits = len(self.log)
             lines = self._execute(connection, text)
+        if len(self.log) > n_commits and self.group.leader is not self:
+            self.superseded_commits[statement_id] = self.group.record.now()
         if statement_id != "-":
             self.runs.append((statement_id, text, connection.tenant))
             self.group.record.write(
@@ -411,6 +424,8 @@
             if name not in connection.prepared:
                 return [f"ERROR UNKNOWN {name}"]
             verb = connection.prepared[name][0]
+        if verb == "STATUS" and self.is_busy:
+            return [f"ERROR BUSY {self.name}"]
         if verb == "STATUS":
             return self._report_status()
         if verb == "DEMOTE":
