--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -255,6 +255,8 @@
     :ivar log: commits that it has received.
     :ivar n_applied: number of them that it has applied, which reads see.
     :ivar runs: statement id, text and tenant of each statement of a client that ran.
+    :ivar prepared_runs: mode, shape and arguments of each prepared statement that ran,
+        by statement id.
     :ivar superseded_commits: ids of the statements that committed a write here after
         the promotion of another database had taken effect.
     :ivar is_busy: it has no slot for ``STATUS``.
@@ -272,12 +274,16 @@
         self.is_draining = False
         self.born = int(time.time() * 1000)
         self.runs: list[tuple[str, str, str]] = []
+        self.prepared_runs: dict[str, tuple[str, str, str]] = {}
         self.superseded_commits: dict[str, float] = {}
         self.is_busy = False
         self.work_seconds = 0.003
         self.port = 0
         self._sequence = 0
         self._server = None
+        # Set while bytes flow between this database and the instances.
+        self._flows = asyncio.Event()
+        self._flows.set()
         self._connections: set[_Connection] = set()
         self._slots = asyncio.Semaphore(N_SLOTS)
         self._beat_task = None
@@ -326,6 +332,16 @@
             self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def cut(self) -> None:
+        """Partition the database from all instances; bytes are held up."""
+        self._record(f"{self.name} is cut off from all instances")
+        self._flows.clear()
+
+    def heal(self) -> None:
+        """End the partition."""
+        self._record(f"{self.name} is reached again")
+        self._flows.set()
+
     def register(self) -> None:
         """Write the own entry."""
         self._sequence += 1
@@ -377,6 +393,7 @@
 
     async def _serve_session(self, reader, writer, connection) -> None:
         words = (await _read_line(reader)).split(" ")
+        await self._flows.wait()
         has_wrong_id = len(words) > 3 and words[3] != self.name
         if words[0] != "START" or words[1] != self.group.name or has_wrong_id:
             writer.write(f"ERROR MISROUTED {self.name}\r\n".encode())
@@ -390,10 +407,12 @@
         writer.write(f"READY I {self.position}\r\n".encode())
         while True:
             line = await _read_line(reader)
+            await self._flows.wait()
             if line == "BYE":
                 return
             _, statement_id, text = line.split(" ", 2)
             lines = await self._run(connection, statement_id, text)
+            await self._flows.wait()
             lines.append(f"READY {connection.state} {self.position}")
             writer.write("".join(f"{item}\r\n" for item in lines).encode())
             await writer.drain()
@@ -402,7 +421,7 @@
         async with self._slots:
             await asyncio.sleep(self.work_seconds)
             n_commits = len(self.log)
-            lines = self._execute(connection, text)
+            lines = self._execute(connection, statement_id, text)
         if len(self.log) > n_commits and self.group.leader is not self:
             self.superseded_commits[statement_id] = self.group.record.now()
         if statement_id != "-":
@@ -412,7 +431,7 @@
             )
         return lines
 
-    def _execute(self, connection, text) -> list[str]:
+    def _execute(self, connection, statement_id, text) -> list[str]:
         verb, _, rest = text.partition(" ")
         if verb == "AFTER":
             wanted, _, text = rest.partition(" ")
@@ -423,7 +442,8 @@
             name, _, rest = rest.partition(" ")
             if name not in connection.prepared:
                 return [f"ERROR UNKNOWN {name}"]
-            verb = connection.prepared[name][0]
+            verb, shape = connection.prepared[name]
+            self.prepared_runs[statement_id] = (verb, shape, rest)
         if verb == "STATUS" and self.is_busy:
             return [f"ERROR BUSY {self.name}"]
         if verb == "STATUS":
@@ -437,7 +457,9 @@
                 connection.prepared.clear()
             return ["DONE -"]
         if verb == "PREPARE":
-            name, mode, shape = rest.split(" ", 2)
+            name, mode, shape = [*rest.split(" ", 2), "", ""][:3]
+            if mode not in ("READ", "WRITE") or not shape:
+                return ["ERROR MALFORMED expected name, READ or WRITE, shape"]
             connection.prepared[name] = (mode, shape)
             return ["DONE -"]
         if verb == "BEGIN":
@@ -907,7 +929,7 @@
     async def run() -> list[str]:
         deployment = Deployment(folder)
         try:
-            async with asyncio.timeout(100):
+            async with asyncio.timeout(float(os.environ.get("LIMIT", "100"))):
                 violations = await scenario(deployment)
             for text in violations:
                 deployment.record.write("BROKEN", text)
