--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -260,6 +260,7 @@
     :ivar superseded_commits: ids of the statements that committed a write here after
         the promotion of another database had taken effect.
     :ivar is_busy: it has no slot for ``STATUS``.
+    :ivar reaches_others: the other databases of the group are reached.
     :ivar work_seconds: time that a read, write or commit takes.
     """
 
@@ -277,6 +278,7 @@
         self.prepared_runs: dict[str, tuple[str, str, str]] = {}
         self.superseded_commits: dict[str, float] = {}
         self.is_busy = False
+        self.reaches_others = True
         self.work_seconds = 0.003
         self.port = 0
         self._sequence = 0
@@ -284,6 +286,7 @@
         # Set while bytes flow between this database and the instances.
         self._flows = asyncio.Event()
         self._flows.set()
+        self._spared: tuple[str, ...] = ()
         self._connections: set[_Connection] = set()
         self._slots = asyncio.Semaphore(N_SLOTS)
         self._beat_task = None
@@ -332,11 +335,19 @@
             self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    def cut(self) -> None:
-        """Partition the database from all instances; bytes are held up."""
-        self._record(f"{self.name} is cut off from all instances")
+    def cut(self, *spared: str) -> None:
+        """Partition the database from all instances; bytes are held up.
+
+        :param spared: tenants whose clients use only instances on this side.
+        """
+        self._record(f"{self.name} is cut off, but for {spared}")
+        self._spared = spared
         self._flows.clear()
 
+    async def _wait_for_flow(self, tenant: str) -> None:
+        if tenant not in self._spared:
+            await self._flows.wait()
+
     def heal(self) -> None:
         """End the partition."""
         self._record(f"{self.name} is reached again")
@@ -393,7 +404,7 @@
 
     async def _serve_session(self, reader, writer, connection) -> None:
         words = (await _read_line(reader)).split(" ")
-        await self._flows.wait()
+        await self._wait_for_flow(words[2] if len(words) > 2 else "")
         has_wrong_id = len(words) > 3 and words[3] != self.name
         if words[0] != "START" or words[1] != self.group.name or has_wrong_id:
             writer.write(f"ERROR MISROUTED {self.name}\r\n".encode())
@@ -407,12 +418,12 @@
         writer.write(f"READY I {self.position}\r\n".encode())
         while True:
             line = await _read_line(reader)
-            await self._flows.wait()
+            await self._wait_for_flow(connection.tenant)
             if line == "BYE":
                 return
             _, statement_id, text = line.split(" ", 2)
             lines = await self._run(connection, statement_id, text)
-            await self._flows.wait()
+            await self._wait_for_flow(connection.tenant)
             lines.append(f"READY {connection.state} {self.position}")
             writer.write("".join(f"{item}\r\n" for item in lines).encode())
             await writer.drain()
@@ -579,6 +590,8 @@
         await asyncio.sleep(RECEIVE_SECONDS)
         if not (replica.is_up and primary.is_up and self.leader is primary):
             return
+        if not (primary.reaches_others and replica.reaches_others):
+            return
         if replica.is_primary:
             return
         log = list(primary.log)
@@ -613,10 +626,21 @@
         for replica in self.databases.values():
             if replica is not database and not replica.is_primary:
                 asyncio.create_task(self._deliver(database, replica))
-        await asyncio.sleep(STEP_DOWN_SECONDS)
-        if old.is_up and self.leader is database:
-            old.set_primary(False)
-            await self._deliver(database, old)
+        await self._step_down(old)
+
+    async def _step_down(self, old: Database) -> None:
+        """Have a replaced primary step down once it has reached the new one for 1 s."""
+        reached_at = None
+        while self.leader is not old and old.is_up and old.is_primary:
+            leader = self.leader
+            if not (old.reaches_others and leader.reaches_others and leader.is_up):
+                reached_at = None
+            elif reached_at is None:
+                reached_at = self.record.now()
+            elif self.record.now() - reached_at >= STEP_DOWN_SECONDS:
+                old.set_primary(False)
+                await self._deliver(leader, old)
+            await asyncio.sleep(0.02)
 
 
 # Clients
@@ -727,8 +751,82 @@
         return [int(probe.getsockname()[1]) for probe in probes]
 
 
+class PeerProxy:
+    """Proxy before the peer address of an instance, which can hold bytes up.
+
+    The handshake of a connection names its sender.
+    """
+
+    def __init__(self, target: tuple[str, int], names: list[str]) -> None:
+        self._target = target
+        self._names = names
+        self._server = None
+        self._flows: dict[str, asyncio.Event] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def cut(self, sender: str, is_cut: bool) -> None:
+        """Hold up, or let pass, all bytes to and from a sender."""
+        flow = self._find_flow(sender)
+        if is_cut:
+            flow.clear()
+        else:
+            flow.set()
+
+    def _find_flow(self, sender: str) -> asyncio.Event:
+        if sender not in self._flows:
+            self._flows[sender] = asyncio.Event()
+            self._flows[sender].set()
+        return self._flows[sender]
+
+    async def _serve(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        sender = [""]
+        target = None
+        try:
+            target = await asyncio.open_connection(*self._target)
+            forwards = (
+                self._forward(reader, target[1], sender, is_from_sender=True),
+                self._forward(target[0], writer, sender, is_from_sender=False),
+            )
+            await asyncio.gather(*forwards)
+        except OSError:
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+            if target is not None:
+                target[1].close()
+
+    async def _forward(self, reader, writer, sender, *, is_from_sender) -> None:
+        head = b""
+        while data := await reader.read(65536):
+            if is_from_sender and not sender[0]:
+                head += data
+                for name in self._names:
+                    if name.encode() + b"\0" in head:
+                        sender[0] = name
+            await self._find_flow(sender[0]).wait()
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 class Instance:
-    """One instance as a process of its own."""
+    """One instance as a process of its own.
+
+    :ivar peer_proxy: proxy whose address the other instances use, if any.
+    """
 
     def __init__(
         self, name: str, number: int, zone: str, platform: Platform, folder: Path
@@ -741,6 +839,12 @@
         self._ports = _find_free_ports(self.host, 4)
         self.front = (self.host, self._ports[0])
         self.process: asyncio.subprocess.Process | None = None
+        self.peer_proxy: PeerProxy | None = None
+
+    @property
+    def peer(self) -> tuple[str, int]:
+        """Address on which it listens for other instances."""
+        return (self.host, self._ports[2])
 
     async def start(self) -> None:
         front, ready, peer, metrics = self._ports
@@ -775,6 +879,8 @@
         }
         environment["SARDINEMILL_BOOT"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        if self.peer_proxy is not None:
+            environment["SARDINEMILL_ADVERTISED_PEER"] = self.peer_proxy.address
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *INSTANCE_COMMAND, stdout=log, stderr=log, cwd=ROOT, env=environment
@@ -845,6 +951,20 @@
         self.instances.append(instance)
         return instance
 
+    async def add_peer_proxies(self) -> None:
+        """Put a proxy before the peer address of each instance, before the start."""
+        names = [item.name for item in self.instances]
+        for instance in self.instances:
+            instance.peer_proxy = PeerProxy(instance.peer, names)
+            await instance.peer_proxy.start()
+
+    def cut_peers(self, name: str, is_cut: bool) -> None:
+        """Cut one instance off from all others, or end that."""
+        for instance in self.instances:
+            for other in self.instances:
+                if name in (instance.name, other.name) and instance is not other:
+                    instance.peer_proxy.cut(other.name, is_cut)
+
     def write_configuration(self, routes: list[dict], tenants: list[dict]) -> None:
         """Write the next desired state, as the operator does."""
         spec = {
@@ -879,6 +999,8 @@
         """End all processes."""
         for instance in self.instances:
             await instance.kill()
+            if instance.peer_proxy is not None:
+                instance.peer_proxy.stop()
         self.platform.stop()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
