--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -1040,7 +1040,7 @@
 
 def has_trouble() -> bool:
     """Return whether the script shall disrupt anything."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    return os.environ["TROUBLE"] == "1"
 
 
 def run_script(folder: Path, scenario) -> None:
@@ -1052,6 +1052,7 @@
 
     async def run() -> list[str]:
         deployment = Deployment(folder)
+        deployment.record.write("script", f"TROUBLE={int(has_trouble())}")
         try:
             async with asyncio.timeout(float(os.environ.get("LIMIT", "100"))):
                 violations = await scenario(deployment)
