Log what each database reported when a promotion is ordered

Cause: promotion_ordered named the chosen database and the number of answers, so that a log could not tell whether a replica with newer commits was behind, silent or passed over. Change: the event lists role, term and position of each database, and the term in the fleet record.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -117,6 +117,14 @@
         self.term = 0
 
 
+def _describe_status(status: DatabaseStatus) -> str:
+    """Return what a database reported, as text for the log."""
+    if not status.is_alive:
+        return f"{status.database}: no answer"
+    role = "primary" if status.is_primary else "replica"
+    return f"{status.database}: {role}, term {status.term}, received {status.received}"
+
+
 class _GroupState:
     """Observations of a group, and when this instance last acted on them.
 
@@ -487,13 +495,16 @@
             failover.fence,
             failover.started_at + HOLDER_TIMEOUT_SECONDS,
         )
-        status = failover.statuses[target]
         fields = {
             "group": name,
             "database": target,
             "fence": failover.fence,
-            "received": f"{status.received.term}.{status.received.offset}",
-            "n_statuses": sum(item.is_alive for item in failover.statuses.values()),
+            "recorded_term": failover.record.term,
+            "received": str(failover.statuses[target].received),
+            "statuses": [
+                _describe_status(failover.statuses[item])
+                for item in sorted(failover.statuses)
+            ],
             "seconds": round(now - failover.started_at, 3),
         }
         return [
