Keep the terms of other groups out of a failover

Cause: a status was added to every failover that was asking, whatever its group, and the highest term of all was recorded and sent in demotions. A recorded term above the real one would let a demotion by the record hit the present primary. Change: a status concerns the failover of its database's group. Result: test_terms_of_another_group_do_not_enter_the_record failed before (recorded term 9 in place of 4) and passes.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -539,21 +539,21 @@
         self._detector.record_contact(
             DatabaseContact(status.database, status.is_alive, now)
         )
-        for failover in self._failovers.values():
-            if failover.step is FailoverStep.QUERY_REPLICAS:
-                failover.statuses[status.database] = status
-            is_target = status.database == failover.target and status.is_alive
-            if (
-                failover.step is FailoverStep.CONFIRM
-                and is_target
-                and status.is_primary
-            ):
-                failover.step = FailoverStep.RECORD
-                failover.term = max(failover.term, status.term)
-                failover.due_at = now + 0.5
-                return [Emission("proposals", self._make_final_proposal(failover))]
         if status.is_alive and not status.is_primary:
             self._demotions.pop(status.database, None)
+        entry = self._directory.find(status.database)
+        # Each group counts its own terms, so a status concerns its own group only.
+        failover = None if entry is None else self._failovers.get(entry.group)
+        if failover is None:
+            return []
+        if failover.step is FailoverStep.QUERY_REPLICAS:
+            failover.statuses[status.database] = status
+        is_target = status.database == failover.target and status.is_alive
+        if failover.step is FailoverStep.CONFIRM and is_target and status.is_primary:
+            failover.step = FailoverStep.RECORD
+            failover.term = max(failover.term, status.term)
+            failover.due_at = now + 0.5
+            return [Emission("proposals", self._make_final_proposal(failover))]
         return []
 
     def _make_final_proposal(self, failover: _Failover) -> GroupProposal:
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -314,3 +314,17 @@
     )
     harness.run(1)
     assert harness.group is None
+
+
+def test_terms_of_another_group_do_not_enter_the_record():
+    """Guards against a recorded term above that of the new primary, which came from
+    the status of a database of another group.
+    """
+    harness = make_harness()
+    other = make_database("q", "x", group="h")
+    harness.failover.handle(make_directory((*DATABASES, other)), harness.now)
+    while not harness.promotions:
+        harness.failover.handle(make_status("q", 1, term=9), harness.now)
+        harness.run(0.1, failing=("p",))
+    harness.run(2)
+    assert (harness.group.primary, harness.group.term) == ("r2", 4)
