Choose the primary by term and demote superseded ones by the record

Cause: of the candidates, one that reports to be primary went first, whatever its term. The duty of demoting a replaced primary was in the memory of the instance that had replaced it, for at most 10 s, and ended with its role. Evidence: "i-a1: primary, term 1, received 1.1489" was chosen over "i-a2: replica, term 2, received 2.2675" while the record said term 2. The instance that had carried out the first failover had been stopped 2.6 s before i-a1 was reachable again, and nobody demoted it in the 10 s after. Change: the term goes first, then the role, then the position. A failover waits up to 2 s for a database that has followed the recorded primary. Every coordinator demotes a database that reports to be primary against the record, with the recorded term, until it has stepped down. A promotion is confirmed only in a term above the recorded one.

--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -149,6 +149,11 @@
     ISOLATION_ENDED = EventKind(
         319, "info", "The instance is ready for new sessions again."
     )
+    DEMOTION_ORDERED = EventKind(
+        320,
+        "warning",
+        "A database that acts as primary against the record is told to step down.",
+    )
 
     # 4xx rate limits
     SHARD_TAKEN = EventKind(
--- /dev/null
+++ b/src/sardinemill/fleet/candidates.py
@@ -0,0 +1,29 @@
+"""Choice of the database that a failover promotes."""
+
+from collections.abc import Iterable
+
+from .failover_messages import DatabaseStatus
+from .records import GroupRecord
+
+
+def choose_candidate(statuses: Iterable[DatabaseStatus]) -> DatabaseStatus | None:
+    """Return the database to promote, ``None`` if none answered.
+
+    The term goes first: a primary that was replaced while it was cut off still reports
+    that role and may hold the most entries, but it lacks what was acknowledged in the
+    newer term. Within a term the primary goes first, since an earlier attempt promoted
+    it, and then the received position.
+    """
+    return max(
+        (item for item in statuses if item.is_alive),
+        key=lambda item: (item.term, item.is_primary, item.received, item.database),
+        default=None,
+    )
+
+
+def is_behind_record(status: DatabaseStatus, record: GroupRecord) -> bool:
+    """Return whether a database has not followed the recorded primary.
+
+    It then lacks whatever that primary acknowledged.
+    """
+    return status.term < record.term
--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -2,9 +2,9 @@
 
 A failover goes through the fleet record: the group is marked as changing, which lets
 all leases on its primary expire within ``PRIMARY_LEASE_SECONDS``. Only then does the
-coordinator query the replicas for their log positions and promote the one that received
-most. If the coordinator stops in between, another one takes over with a higher fencing
-token.
+coordinator query the replicas for their terms and log positions and promote the one of
+the highest term that received most. If the coordinator stops in between, another one
+takes over with a higher fencing token.
 """
 
 from collections.abc import Sequence
@@ -14,9 +14,10 @@
 from ..events import Event, EventName
 from ..interfaces import Emission
 from ..sessions.messages import DrainStarted
+from .candidates import choose_candidate, is_behind_record
+from .demotions import DemotionSchedule
 from .failover_messages import (
     DatabaseStatus,
-    DemoteDatabase,
     ProbeDatabase,
     PromoteDatabase,
     PromotionResult,
@@ -59,13 +60,10 @@
 STATUS_QUERY_INTERVAL_SECONDS = 0.25
 # Maximum wait for all replicas to answer; then the best of those that did is promoted.
 MAX_STATUS_WAIT_SECONDS = 0.6
-# Maximum wait of a planned failover for a replica to receive all entries.
+# Maximum wait of a planned failover for a replica to receive all entries, and of any
+# failover for a replica that has followed the recorded primary.
 MAX_CATCH_UP_SECONDS = 2.0
 PROBE_INTERVAL_SECONDS = 0.25
-# The old primary is sent demotions at this interval until it steps down, for at most
-# ``MAX_DEMOTION_SECONDS`` from the start of the failover.
-DEMOTION_INTERVAL_SECONDS = 0.5
-MAX_DEMOTION_SECONDS = 10.0
 NEVER = float("-inf")
 
 
@@ -91,7 +89,8 @@
     :ivar queried_since: when the current round of status queries started.
     :ivar refused_targets: databases that the platform refused to promote.
     :ivar target: database that is to be the primary.
-    :ivar term: highest log term that the databases reported.
+    :ivar term: highest log term that the databases reported before the promotion, then
+        that of the new primary.
     """
 
     def __init__(
@@ -168,8 +167,7 @@
         self._detector = PrimaryFailureDetector()
         self._groups: dict[str, _GroupState] = {}
         self._failovers: dict[str, _Failover] = {}
-        # Old primaries to demote: term, time of the next demotion, deadline.
-        self._demotions: dict[str, tuple[int, float, float]] = {}
+        self._demotions = DemotionSchedule()
 
     @property
     def next_tick(self) -> float | None:
@@ -199,13 +197,14 @@
         if self._rank is None:
             self._failovers.clear()
             self._groups.clear()
+            self._demotions.clear()
             return self._emit_in_progress()
         emissions: list[Emission] = []
         for name in sorted({item.group for item in self._directory.databases}):
             emissions += self._check_group(name, now)
         for name in list(self._failovers):
             emissions += self._advance(name, now)
-        emissions += self._emit_demotions(now)
+        emissions += self._demote_superseded(now)
         return [*self._emit_in_progress(), *emissions]
 
     def _emit_in_progress(self) -> list[Emission]:
@@ -425,10 +424,14 @@
         )
         if may_keep_primary and old_status is not None and old_status.is_primary:
             return self._keep_primary(name, failover, now)
-        best = self._choose_target(candidates, failover)
+        names = {item.name for item in candidates}
+        best = choose_candidate(
+            item for item in failover.statuses.values() if item.database in names
+        )
         is_complete = all(item.name in failover.statuses for item in candidates)
         if best is not None and (is_complete or waited > MAX_STATUS_WAIT_SECONDS):
             behind = self._is_missing_entries(failover, best)
+            behind = behind or is_behind_record(best, failover.record)
             if not behind or waited > MAX_CATCH_UP_SECONDS:
                 return self._promote(name, failover, best.database, now)
         if now < failover.due_at:
@@ -450,22 +453,6 @@
             Emission("events", Event(EventName.CHANGE_ABANDONED, fields)),
         ]
 
-    def _choose_target(
-        self, candidates: Sequence[DatabaseEntry], failover: _Failover
-    ) -> DatabaseStatus | None:
-        names = {item.name for item in candidates}
-        found = [
-            item
-            for item in failover.statuses.values()
-            if item.is_alive and item.database in names
-        ]
-        # A candidate that is already a primary was promoted by an earlier attempt.
-        return max(
-            found,
-            key=lambda item: (item.is_primary, item.received, item.database),
-            default=None,
-        )
-
     def _is_missing_entries(self, failover: _Failover, best: DatabaseStatus) -> bool:
         """Return whether the old primary may hold entries that the best replica lacks.
 
@@ -539,8 +526,7 @@
         self._detector.record_contact(
             DatabaseContact(status.database, status.is_alive, now)
         )
-        if status.is_alive and not status.is_primary:
-            self._demotions.pop(status.database, None)
+        self._demotions.record_status(status, now)
         entry = self._directory.find(status.database)
         # Each group counts its own terms, so a status concerns its own group only.
         failover = None if entry is None else self._failovers.get(entry.group)
@@ -549,15 +535,22 @@
         if failover.step is FailoverStep.QUERY_REPLICAS:
             failover.statuses[status.database] = status
         is_target = status.database == failover.target and status.is_alive
-        if failover.step is FailoverStep.CONFIRM and is_target and status.is_primary:
+        # A superseded primary that is promoted again reports its role, with its old
+        # term, before the promotion takes effect.
+        is_promoted = (
+            is_target
+            and status.is_primary
+            and status.term >= failover.term
+            and status.term > failover.record.term
+        )
+        if failover.step is FailoverStep.CONFIRM and is_promoted:
             failover.step = FailoverStep.RECORD
-            failover.term = max(failover.term, status.term)
+            failover.term = status.term
             failover.due_at = now + 0.5
             return [Emission("proposals", self._make_final_proposal(failover))]
         return []
 
     def _make_final_proposal(self, failover: _Failover) -> GroupProposal:
-        """Return the final proposal and schedule the demotion of a replaced primary."""
         entry = self._directory.find(failover.target)
         new = GroupRecord(
             group=failover.record.group,
@@ -565,10 +558,6 @@
             primary_born_ms=0 if entry is None else entry.born_ms,
             term=max(failover.term, failover.record.term),
         )
-        old = failover.record.primary
-        if old != failover.target:
-            limit = failover.started_at + MAX_DEMOTION_SECONDS
-            self._demotions[old] = (failover.term, NEVER, limit)
         return GroupProposal(new, failover.record)
 
     def _make_completed_event(
@@ -587,13 +576,20 @@
         fields = {"group": name, "step": failover.step.value, "reason": reason}
         return [Emission("events", Event(EventName.CHANGE_ABANDONED, fields))]
 
-    def _emit_demotions(self, now: float) -> list[Emission]:
+    def _demote_superseded(self, now: float) -> list[Emission]:
+        assert self._rank is not None
         emissions = []
-        for name, (term, due_at, limit) in list(self._demotions.items()):
-            entry = self._directory.find(name)
-            if now > limit or (entry is not None and not entry.is_primary):
-                del self._demotions[name]
-            elif entry is not None and now >= due_at:
-                self._demotions[name] = (term, now + DEMOTION_INTERVAL_SECONDS, limit)
-                emissions.append(Emission("databases", DemoteDatabase(entry, term)))
+        for command in self._demotions.list_due(
+            self._record, self._directory, self._rank, now
+        ):
+            fields = {
+                "group": command.database.group,
+                "database": command.database.name,
+                "recorded_term": command.term,
+                "rank": self._rank,
+            }
+            emissions += [
+                Emission("databases", command),
+                Emission("events", Event(EventName.DEMOTION_ORDERED, fields)),
+            ]
         return emissions
--- a/src/sardinemill/fleet/records.py
+++ b/src/sardinemill/fleet/records.py
@@ -37,7 +37,7 @@
 
     :param primary: identifier of the database, ``""`` if unknown.
     :param primary_born_ms: start of the primary's process, Unix time in milliseconds.
-    :param term: lower bound of the log term of this primary.
+    :param term: log term of this primary, 0 while no instance has learned it.
     :param attempt: number of takeovers of the unfinished failover.
     """
 
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -207,6 +207,72 @@
     assert {(item.database.name, item.term) for item in harness.demotions} == {("p", 4)}
 
 
+def test_superseded_primary_is_demoted_by_a_coordinator_that_did_not_replace_it():
+    """Guards against a superseded primary that keeps its role because the instance that
+    replaced it has ended (review/4).
+    """
+    harness = make_harness(record=make_record("r2", term=4))
+    harness.run(1)
+    assert {(item.database.name, item.term) for item in harness.demotions} == {("p", 4)}
+
+
+def test_replica_of_the_newer_term_is_promoted_over_a_superseded_primary():
+    """Guards against the loss of acknowledged commits of the newer term when the new
+    primary fails before the superseded one was demoted (review/4).
+    """
+    harness = make_harness(record=make_record("r2", term=4))
+    harness.statuses = {
+        "p": make_status("p", 20, term=3, is_primary=True),
+        "r1": DatabaseStatus("r1", True, False, 4, LogPosition(4, 9)),
+    }
+    harness.run(6, failing=("r2",))
+    assert harness.promotions[0][1].database == "r1"
+
+
+def test_replica_of_the_newer_term_without_commits_is_promoted():
+    """Guards against a choice by the received position alone: the replica has followed
+    the recorded primary, which has not written yet, and the superseded one has not.
+    """
+    harness = make_harness(record=make_record("r2", term=4))
+    harness.statuses = {
+        "p": make_status("p", 20, term=3, is_primary=True),
+        "r1": make_status("r1", 9, term=4),
+    }
+    harness.run(6, failing=("r2",))
+    assert harness.promotions[0][1].database == "r1"
+
+
+def test_replica_of_the_newer_term_is_waited_for():
+    """Guards against the promotion of a superseded primary because the replica that
+    holds the commits of the newer term answers a little later.
+    """
+    harness = make_harness(record=make_record("r2", term=4))
+    harness.statuses = {"p": make_status("p", 20, term=3, is_primary=True)}
+    harness.run(3.5, failing=("r2",))
+    assert harness.promotions == []
+    harness.statuses["r1"] = make_status("r1", 9, term=4)
+    harness.run(2, failing=("r2",))
+    assert harness.promotions[0][1].database == "r1"
+
+
+def test_superseded_primary_is_promoted_if_no_other_database_answers():
+    """Guards against a group that stays without a primary because only a superseded one
+    is left; its old status does not confirm the promotion.
+    """
+    harness = make_harness(record=make_record("r2", term=4))
+    harness.statuses = {"p": make_status("p", 20, term=3, is_primary=True)}
+    harness.accepts_promotions = False
+    while not harness.promotions:
+        harness.run(0.1, failing=("r2",))
+    command = harness.promotions[0][1]
+    harness.failover.handle(PromotionResult(command, True), harness.now)
+    harness.run(0.5)
+    assert harness.group.phase is GroupPhase.CHANGING
+    harness.statuses["p"] = make_status("p", 20, term=5, is_primary=True)
+    harness.run(1)
+    assert (harness.group.primary, harness.group.term) == ("p", 5)
+
+
 def test_holder_that_resumes_late_promotes_nothing():
     """Guards against a promotion after another coordinator may have taken over."""
     harness = make_harness()
