Do not keep a restarted or older primary because of its role

Cause: a failover that was started because of the new start time kept the primary as soon as it answered in that role. Evidence: find_reason gives "restarted empty", and _query_replicas looked at the role only; the failing test replays it. Change: a primary is kept only if its start time is that of the record and its term is not below the recorded one. Result: two tests of test_fleet_failover failed before and pass.

--- a/src/sardinemill/fleet/candidates.py
+++ b/src/sardinemill/fleet/candidates.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from .failover_messages import DatabaseStatus
-from .records import GroupRecord
+from .records import DatabaseEntry, GroupRecord
 
 
 def choose_candidate(statuses: Iterable[DatabaseStatus]) -> DatabaseStatus | None:
@@ -27,3 +27,12 @@
     It then lacks whatever that primary acknowledged.
     """
     return status.term < record.term
+
+
+def is_recorded_process(entry: DatabaseEntry, record: GroupRecord) -> bool:
+    """Return whether the recorded primary is still the process that the record names.
+
+    A database that started again under its name has lost its data, whatever role it
+    reports.
+    """
+    return record.primary_born_ms in (0, entry.born_ms)
--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -14,7 +14,7 @@
 from ..events import Event, EventName
 from ..interfaces import Emission
 from ..sessions.messages import DrainStarted
-from .candidates import choose_candidate, is_behind_record
+from .candidates import choose_candidate, is_behind_record, is_recorded_process
 from .demotions import DemotionSchedule
 from .failover_messages import (
     DatabaseStatus,
@@ -420,9 +420,17 @@
         waited = now - failover.queried_since
         old_status = failover.statuses.get(failover.record.primary)
         may_keep_primary = (
-            failover.is_first_attempt and not failover.is_planned and old is not None
+            failover.is_first_attempt
+            and not failover.is_planned
+            and old is not None
+            and is_recorded_process(old, failover.record)
         )
-        if may_keep_primary and old_status is not None and old_status.is_primary:
+        if (
+            may_keep_primary
+            and old_status is not None
+            and old_status.is_primary
+            and not is_behind_record(old_status, failover.record)
+        ):
             return self._keep_primary(name, failover, now)
         names = {item.name for item in candidates}
         best = choose_candidate(
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -199,6 +199,28 @@
     assert harness.group.primary == "r2"
 
 
+def test_restarted_empty_primary_that_reports_its_role_is_replaced():
+    """Guards against a database that lost its log and is kept because it answers as
+    primary (review/1).
+    """
+    harness = make_harness()
+    reborn = make_database("p", "x", is_primary=True, born_ms=2)
+    harness.failover.handle(make_directory((reborn, *DATABASES[1:])), harness.now)
+    harness.statuses["p"] = make_status("p", 0, term=1, is_primary=True)
+    harness.run(6, alive=("p",))
+    assert harness.group.primary == "r2"
+
+
+def test_primary_of_an_older_term_is_not_kept():
+    """Guards against a primary that is kept by its role alone, although the record
+    says that it led a newer term.
+    """
+    harness = make_harness(record=make_record(term=3))
+    harness.statuses["p"] = make_status("p", 20, term=2, is_primary=True)
+    harness.run(6, failing=("p",))
+    assert harness.group.primary == "r2"
+
+
 def test_old_primary_is_demoted():
     """Guards against a replaced primary that continues after a partition ends."""
     harness = make_harness()
