Do not keep the old primary after a promotion without an answer

Cause: a failover whose promotion call got no answer asked the databases again and kept the old primary, which still answered in its role. That no promotion could have been ordered was known of earlier holders only. Evidence: the failing test replays it: call without an answer, old primary reachable again, one candidate without a status. Change: after a call with an unknown outcome the old primary is not kept. Result: the test failed before and passes.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -84,7 +84,8 @@
     :ivar record: group record of that write.
     :ivar is_planned: the primary is leaving and still serves.
     :ivar fence: fencing token, 0 until the write has taken effect.
-    :ivar is_first_attempt: no earlier holder can have requested a promotion.
+    :ivar may_have_promoted: a promotion may have taken effect or may still do so: an
+        earlier holder may have requested one, or the outcome of an own one is unknown.
     :ivar due_at: time of the next action of the current step.
     :ivar queried_since: when the current round of status queries started.
     :ivar refused_targets: databases that the platform refused to promote.
@@ -99,14 +100,14 @@
         record: GroupRecord,
         reason: str,
         is_planned: bool,
-        is_first_attempt: bool = True,
+        may_have_promoted: bool = False,
     ) -> None:
         self.started_at = started_at
         self.record = record
         self.reason = reason
         self.is_planned = is_planned
         self.fence = 0
-        self.is_first_attempt = is_first_attempt
+        self.may_have_promoted = may_have_promoted
         self.step: FailoverStep = FailoverStep.AWAIT_LEASE_EXPIRY
         self.due_at: float = 0.0
         self.queried_since: float = 0.0
@@ -324,7 +325,7 @@
             record=retried,
             reason=f"{self._record.holder} did not finish",
             is_planned=False,
-            is_first_attempt=False,
+            may_have_promoted=True,
         )
         return [
             Emission(
@@ -420,7 +421,7 @@
         waited = now - failover.queried_since
         old_status = failover.statuses.get(failover.record.primary)
         may_keep_primary = (
-            failover.is_first_attempt
+            not failover.may_have_promoted
             and not failover.is_planned
             and old is not None
             and is_recorded_process(old, failover.record)
@@ -525,6 +526,8 @@
         if result.is_accepted is False:
             failover.refused_targets.add(result.command.database)
             failover.statuses.pop(result.command.database, None)
+        else:
+            failover.may_have_promoted = True
         failover.step = FailoverStep.QUERY_REPLICAS
         failover.queried_since = now
         failover.due_at = now
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -370,6 +370,23 @@
     assert harness.group.primary == "r2"
 
 
+def test_old_primary_is_not_kept_after_a_promotion_without_an_answer():
+    """Guards against a replaced primary that is recorded again because it still answers
+    in its role (review/3).
+    """
+    harness = make_harness()
+    harness.accepts_promotions = False
+    harness.run(4, failing=("p",))
+    harness.statuses["p"] = make_status("p", 9, is_primary=True)
+    # A candidate without a status makes the failover query the databases again.
+    busy = make_database("r3", "y")
+    harness.failover.handle(make_directory((*DATABASES, busy)), harness.now)
+    harness.answer(harness.promotions[0][1], None)
+    harness.accepts_promotions = True
+    harness.run(3)
+    assert harness.group.primary == "r2"
+
+
 def test_lost_write_of_the_record_promotes_nothing():
     """Guards against a promotion by a coordinator whose write was lost."""
     harness = make_harness()
