End a failover whose record another coordinator has changed

Cause: a holder went on until its deadline by its own memory, also when its copy of the record named another attempt or a completed failover. Evidence: both tests promote r2 with fence 1 after the record shows fence 2. Change: a holder ends its failover as soon as the group's record is not the one that it wrote. Result: two tests of test_fleet_failover failed before and pass.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -345,6 +345,8 @@
 
     def _advance(self, name: str, now: float) -> list[Emission]:
         failover = self._failovers[name]
+        if failover.fence and self._record.find_group(name) != failover.record:
+            return self._abandon(name, "the record has changed")
         # Recording what the databases report is safe at any time, promoting is not.
         is_promotion_accepted = failover.step in (
             FailoverStep.CONFIRM,
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -305,6 +305,38 @@
     assert harness.promotions == []
 
 
+def test_holder_that_was_replaced_promotes_nothing():
+    """Guards against a promotion with an old fencing token after another coordinator
+    has taken the failover over.
+    """
+    harness = make_harness()
+    harness.run(2, failing=("p",))
+    taken_over = replace(harness.group, attempt=1)
+    harness.record = replace(
+        harness.record, groups=(taken_over,), holder="b", fence=harness.record.fence + 1
+    )
+    harness.revision += 1
+    harness.confirm()
+    harness.run(3)
+    assert harness.promotions == []
+
+
+def test_holder_promotes_nothing_once_another_one_has_finished():
+    """Guards against a second promotion after a failover that another coordinator has
+    completed.
+    """
+    harness = make_harness()
+    harness.run(2, failing=("p",))
+    finished = replace(harness.group, primary="r1", term=4, phase=GroupPhase.STEADY)
+    harness.record = replace(
+        harness.record, groups=(finished,), holder="b", fence=harness.record.fence + 1
+    )
+    harness.revision += 1
+    harness.confirm()
+    harness.run(3)
+    assert harness.promotions == []
+
+
 def test_promotion_carries_its_deadline():
     """Guards against a promotion call that is sent after the holder's timeout."""
     harness = make_harness()
