Order no demotion without a recorded term

Cause: until the first failover of a group the record has no term, and a demotion with term 0 is a priced call that no database follows. Change: such a group orders none.

--- a/src/sardinemill/fleet/demotions.py
+++ b/src/sardinemill/fleet/demotions.py
@@ -62,9 +62,10 @@
 ) -> Sequence[DatabaseEntry]:
     """Return the databases that claim the role which the record gives to another one.
 
-    While a failover is under way the record does not name its target yet.
+    While a failover is under way the record does not name its target yet, and without a
+    recorded term no database would follow a demotion.
     """
-    if group.phase is not GroupPhase.STEADY:
+    if group.phase is not GroupPhase.STEADY or group.term == 0:
         return ()
     return [
         entry
--- a/tests/test_fleet_demotions.py
+++ b/tests/test_fleet_demotions.py
@@ -70,13 +70,14 @@
 
 
 def test_recorded_primary_and_groups_in_change_are_left_alone():
-    """Guards against the demotion of the primary in use, and of the target of a
-    failover that the record does not name yet.
+    """Guards against the demotion of the primary in use, of the target of a failover
+    that the record does not name yet, and by a record without a term.
     """
     schedule = DemotionSchedule()
     assert list_names(schedule, 100.0, record=make_record("p", term=4)) == []
     changing = make_record("r2", term=4, phase=GroupPhase.CHANGING)
     assert list_names(schedule, 100.0, record=changing) == []
+    assert list_names(schedule, 100.0, record=make_record("r2")) == []
 
 
 def test_role_of_another_database_changes_nothing():
