Model superseded primaries in the seeded model of the fleet

Change: a replaced primary reports its role with its old term and more entries until it is demoted or reaches the new one; its successor crashes at the most critical time. Two invariants: no database that followed the recorded primary is passed over, and the leader is not demoted. Two more removed safeguards are to be found: a choice that puts the role first, and demotions whose term is not the recorded one.

--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -7,22 +7,33 @@
 
 * no instance uses another database as primary than the one that leads, so that no write
   is acknowledged by a replaced primary;
-* fencing tokens of promotion requests never decrease, and none has two holders.
+* fencing tokens of promotion requests never decrease, and none has two holders;
+* no database that has not followed the recorded primary is promoted while one that has
+  answers, and the database that leads is not demoted.
+
+A replaced primary reports its role, with its old term and more entries than the others,
+until it is demoted or has reached the new one for a second.
 
 The last test removes each safeguard and expects a violation.
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import PeerEnvelope
-from sardinemill.fleet import coordinator_membership, failover, primary_lease
+from sardinemill.fleet import (
+    coordinator_membership,
+    demotions,
+    failover,
+    primary_lease,
+)
 from sardinemill.fleet.failover import PrimaryFailover
 from sardinemill.fleet.failover_messages import (
     DatabaseStatus,
+    DemoteDatabase,
     ProbeDatabase,
     PromoteDatabase,
     PromotionResult,
@@ -50,10 +61,15 @@
 from sardinemill.groups import Address
 from sardinemill.positions import LogPosition
 from sardinemill.sessions.messages import DrainStarted
-from session_builders import make_directory
+from session_builders import DATABASES, make_directory
 
 STEP_SECONDS = 0.1
 PROMOTE_SECONDS = 0.3
+# A replaced primary that reaches the new one steps down after this time.
+STEP_DOWN_SECONDS = 1.0
+# A database that was reachable for this time has answered a holder that asks for
+# positions.
+ANSWER_SECONDS = 0.6
 N_STEPS = 600
 N_SEEDS = 30
 # Weight of each fault in a step.
@@ -69,6 +85,8 @@
     "island": 6,
     "leave": 6,
 }
+# Probability in a step that the successor of a superseded primary crashes.
+SUCCESSOR_CRASH_PROBABILITY = 0.03
 
 
 class InvariantViolation(AssertionError):
@@ -112,6 +130,13 @@
         self.pending_promotion = None
         self.fences = []
         self.crashed = {}
+        self.terms = {item.name: 1 for item in DATABASES}
+        self.positions = {item.name: LogPosition(1, 5) for item in DATABASES}
+        # Databases that report to be primary, and from whom replaced ones are cut off.
+        self.claims = {"p"}
+        self.database_cut = {}
+        self.reached_since = {}
+        self.n_superseded = 0
         for number in range(n_instances):
             self.start(f"n{number}")
 
@@ -128,8 +153,8 @@
             FleetState(identity, SeededRandom(self.n_incarnations)),
             PrimaryFailover(name),
         )
-        node.failover.handle(make_directory(), self.now)
         self.nodes[name] = node
+        node.failover.handle(self.make_directory(), self.now)
 
     def run(self, n_steps=N_STEPS):
         """Advance the time step by step, with faults."""
@@ -138,6 +163,7 @@
             self.inject()
             self.apply_late_writes()
             self.finish_promotion()
+            self.follow_leader()
             for name in list(self.nodes):
                 node = self.nodes[name]
                 if node.frozen_until > self.now:
@@ -154,6 +180,9 @@
         until = self.now + self.random.uniform(0.5, 9.0)
         name = f"n{self.random.randrange(self.n_instances)}"
         kind = self.random.choices(list(FAULTS), list(FAULTS.values()))[0]
+        superseded = self.claims - {self.leader}
+        if superseded and self.random.random() < SUCCESSOR_CRASH_PROBABILITY:
+            kind = "successor"
         if kind == "store":
             self.store_cut[name] = until
         elif kind == "peers":
@@ -184,6 +213,14 @@
                     self.store_cut[other] = until + 8.0
         elif kind == "crash":
             self.crashed[self.leader] = until
+        elif kind == "successor":
+            # The most critical time for a superseded primary to be reachable again is
+            # during the failover of its crashed successor.
+            self.crashed[self.leader] = until + 5.0
+            heals_at = self.now + self.random.uniform(0.5, 4.0)
+            for database in superseded:
+                cut = self.database_cut.get(database, {})
+                self.database_cut[database] = dict.fromkeys(cut, heals_at)
         elif kind == "all":
             for other in self.nodes:
                 self.store_cut[other] = until
@@ -221,6 +258,8 @@
                 self.request_promotion(name, message)
             elif isinstance(message, QueryDatabaseStatus | ProbeDatabase):
                 self.query_database(name, message)
+            elif isinstance(message, DemoteDatabase):
+                self.demote(name, message)
 
     def send(self, name, envelope):
         """Deliver a message unless one end is partitioned or frozen."""
@@ -268,9 +307,7 @@
     def query_database(self, name, question):
         """Answer for a database unless it is down or partitioned."""
         database = question.database.name
-        down = self.is_active(self.crashed, database) or (
-            database == self.leader and self.is_active(self.primary_cut, name)
-        )
+        down = not self.is_reachable(name, database)
         handle = self.nodes[name].failover.handle
         if down:
             if isinstance(question, ProbeDatabase):
@@ -279,13 +316,66 @@
             return
         self.process(name, handle(DatabaseContact(database, True, self.now), self.now))
         if isinstance(question, QueryDatabaseStatus):
-            is_leader = database == self.leader
-            term = self.term if is_leader else max(1, self.term - 1)
+            is_primary = database in self.claims
+            term = self.terms[database]
             status = DatabaseStatus(
-                database, True, is_leader, term, LogPosition(term, 5)
+                database, True, is_primary, term, self.positions[database]
             )
             self.process(name, handle(status, self.now))
 
+    def is_reachable(self, name, database, seconds=0.0):
+        """Return whether an instance has reached a database for some time."""
+        cut = (
+            self.primary_cut
+            if database == self.leader
+            else self.database_cut.get(database, {})
+        )
+        ended_at = max(self.crashed.get(database, 0.0), cut.get(name, 0.0))
+        return ended_at <= self.now - seconds
+
+    def demote(self, name, command):
+        """Let a database step down if its term is lower."""
+        database = command.database.name
+        if not self.is_reachable(name, database):
+            return
+        if command.term > self.terms[database]:
+            if database == self.leader:
+                raise InvariantViolation(f"{database} leads and is demoted")
+            self.set_claim(database, False)
+
+    def set_claim(self, database, is_primary):
+        """Change the role that a database reports, also in the directory."""
+        if is_primary == (database in self.claims):
+            return
+        self.claims ^= {database}
+        for name, node in self.nodes.items():
+            self.process(name, node.failover.handle(self.make_directory(), self.now))
+
+    def make_directory(self):
+        """Return the list of databases with the roles that they report."""
+        return make_directory(
+            replace(item, is_primary=item.name in self.claims) for item in DATABASES
+        )
+
+    def follow_leader(self):
+        """Let databases that reach the leader follow it."""
+        for database in self.terms:
+            until = max(self.database_cut.get(database, {}).values(), default=0.0)
+            reaches = (
+                until <= self.now
+                and not self.is_active(self.crashed, database)
+                and not self.is_active(self.crashed, self.leader)
+            )
+            if database == self.leader or not reaches:
+                self.reached_since.pop(database, None)
+                continue
+            since = self.reached_since.setdefault(database, self.now)
+            if database in self.claims and self.now - since < STEP_DOWN_SECONDS:
+                continue
+            self.set_claim(database, False)
+            self.terms[database] = self.term
+            self.positions[database] = LogPosition(self.term, 5)
+
     def request_promotion(self, name, command):
         """Accept a promotion request, which takes effect after a delay."""
         if command.deadline <= self.now:
@@ -295,6 +385,7 @@
         if any(f == command.fence and h != command.holder for f, h in self.fences):
             raise InvariantViolation("two holders with one fencing token")
         self.fences.append((command.fence, command.holder))
+        self.check_choice(name, command.database)
         handle = self.nodes[name].failover.handle
         if self.is_active(self.crashed, command.database):
             self.process(name, handle(PromotionResult(command, False), self.now))
@@ -303,11 +394,36 @@
             self.pending_promotion = (self.now + PROMOTE_SECONDS, command.database)
         self.process(name, handle(PromotionResult(command, True), self.now))
 
+    def check_choice(self, name, chosen):
+        """Raise if a database that followed the recorded primary was passed over."""
+        group = self.record.find_group("g")
+        if self.terms[chosen] >= group.term:
+            return
+        for database, term in self.terms.items():
+            if (
+                database != group.primary
+                and term >= group.term
+                and self.is_reachable(name, database, ANSWER_SECONDS)
+            ):
+                raise InvariantViolation(f"{chosen} is promoted over {database}")
+
     def finish_promotion(self):
         """Let a requested promotion take effect."""
         if self.pending_promotion is not None and self.now >= self.pending_promotion[0]:
+            old = self.leader
             self.leader, self.pending_promotion = self.pending_promotion[1], None
             self.term += 1
+            self.terms[self.leader] = self.term
+            self.positions[self.leader] = LogPosition(self.term, 5)
+            self.database_cut[old] = dict(self.primary_cut)
+            self.database_cut.pop(self.leader, None)
+            self.set_claim(self.leader, True)
+            # A crashed primary comes back as a replica.
+            if self.is_active(self.crashed, old):
+                self.set_claim(old, False)
+            if old in self.claims:
+                self.n_superseded += 1
+                self.positions[old] = LogPosition(self.terms[old], 20)
 
     def use_primary(self, name, node):
         """Write as a client to the primary that the instance would use."""
@@ -338,6 +454,7 @@
     for world in worlds:
         world.run()
     assert sum(world.term - 1 for world in worlds) >= N_SEEDS
+    assert sum(world.n_superseded for world in worlds) >= N_SEEDS / 2
 
 
 def finds_violation(n_seeds=200):
@@ -357,10 +474,30 @@
     )
 
 
-@pytest.mark.parametrize("guard", ["wait", "deadline", "words", "awareness"])
+def demote_any_term(database, term):
+    """Order a demotion that the primary of a newer term follows too."""
+    return DemoteDatabase(database, term + 1000)
+
+
+def choose_by_role(statuses):
+    """Choose the candidate that reports to be primary, whatever its term."""
+    return max(
+        (item for item in statuses if item.is_alive),
+        key=lambda item: (item.is_primary, item.received, item.database),
+        default=None,
+    )
+
+
+@pytest.mark.parametrize(
+    "guard", ["wait", "deadline", "words", "awareness", "term", "recorded term"]
+)
 def test_model_detects_a_removed_safeguard(guard, monkeypatch):
     """Guards against a simulation that does not detect missing safeguards."""
-    if guard == "wait":
+    if guard == "term":
+        monkeypatch.setattr(failover, "choose_candidate", choose_by_role)
+    elif guard == "recorded term":
+        monkeypatch.setattr(demotions, "DemoteDatabase", demote_any_term)
+    elif guard == "wait":
         monkeypatch.setattr(failover, "PRIMARY_LEASE_SECONDS", -0.3)
     elif guard == "deadline":
         monkeypatch.setattr(failover, "HOLDER_TIMEOUT_SECONDS", 1000.0)
