Confirm a promotion in the recorded term too

Cause: confirmed a promotion only in a term above the recorded one. A crashed primary may return with its log under another name; it is then the platform's primary already, in the recorded term, and the call to promote it changes nothing. Evidence: promotion_ordered shows "i-d7f7e75727: primary, term 2, received 2.33" with a recorded term of 2, twice for the same group. Change: a term below the recorded one or below that of another database of the group does not confirm; the recorded term does. Result: the new test of test_fleet_failover failed before and passes.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -549,12 +549,12 @@
             failover.statuses[status.database] = status
         is_target = status.database == failover.target and status.is_alive
         # A superseded primary that is promoted again reports its role, with its old
-        # term, before the promotion takes effect.
+        # term, before the promotion takes effect. The recorded term itself counts: a
+        # crashed primary may return with its log under another name.
         is_promoted = (
             is_target
             and status.is_primary
-            and status.term >= failover.term
-            and status.term > failover.record.term
+            and status.term >= max(failover.term, failover.record.term)
         )
         if failover.step is FailoverStep.CONFIRM and is_promoted:
             failover.step = FailoverStep.RECORD
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -379,6 +379,25 @@
     assert harness.group.primary == "r1"
 
 
+def test_primary_that_returned_under_another_name_is_recorded_in_its_term():
+    """Guards against a group without a primary because the platform changes nothing:
+    the target is its primary already, in the recorded term.
+    """
+    harness = make_harness(record=make_record("gone", term=4))
+    harness.statuses = {
+        "p": make_status("p", 9, term=4, is_primary=True),
+        "r1": make_status("r1", 9, term=4),
+    }
+    harness.accepts_promotions = False
+    while not harness.promotions:
+        harness.run(0.1, failing=("gone",))
+    command = harness.promotions[0][1]
+    harness.failover.handle(PromotionResult(command, True), harness.now)
+    harness.run(1)
+    assert (harness.group.primary, harness.group.term) == ("p", 4)
+    assert harness.group.phase is GroupPhase.STEADY
+
+
 def test_refused_target_is_replaced_by_the_next():
     """Guards against a failover that never ends because the chosen replica is down."""
     harness = make_harness()
