Move the check whether a primary may be kept into a method

Change: no behaviour; the conditions stand in one place, and the text of a status for the log at the end of the module.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -117,14 +117,6 @@
         self.term = 0
 
 
-def _describe_status(status: DatabaseStatus) -> str:
-    """Return what a database reported, as text for the log."""
-    if not status.is_alive:
-        return f"{status.database}: no answer"
-    role = "primary" if status.is_primary else "replica"
-    return f"{status.database}: {role}, term {status.term}, received {status.received}"
-
-
 class _GroupState:
     """Observations of a group, and when this instance last acted on them.
 
@@ -421,19 +413,7 @@
         ]
         old = self._directory.find(failover.record.primary)
         waited = now - failover.queried_since
-        old_status = failover.statuses.get(failover.record.primary)
-        may_keep_primary = (
-            not failover.may_have_promoted
-            and not failover.is_planned
-            and old is not None
-            and is_recorded_process(old, failover.record)
-        )
-        if (
-            may_keep_primary
-            and old_status is not None
-            and old_status.is_primary
-            and not is_behind_record(old_status, failover.record)
-        ):
+        if self._may_keep_primary(failover):
             return self._keep_primary(name, failover, now)
         names = {item.name for item in candidates}
         best = choose_candidate(
@@ -441,9 +421,10 @@
         )
         is_complete = all(item.name in failover.statuses for item in candidates)
         if best is not None and (is_complete or waited > MAX_STATUS_WAIT_SECONDS):
-            behind = self._is_missing_entries(failover, best)
-            behind = behind or is_behind_record(best, failover.record)
-            if not behind or waited > MAX_CATCH_UP_SECONDS:
+            is_behind = self._is_missing_entries(failover, best) or is_behind_record(
+                best, failover.record
+            )
+            if not is_behind or waited > MAX_CATCH_UP_SECONDS:
                 return self._promote(name, failover, best.database, now)
         if now < failover.due_at:
             return []
@@ -451,6 +432,21 @@
         queried = candidates if old is None else [*candidates, old]
         return [Emission("databases", QueryDatabaseStatus(item)) for item in queried]
 
+    def _may_keep_primary(self, failover: _Failover) -> bool:
+        """Return whether the primary answers again and is the recorded one."""
+        record = failover.record
+        entry = self._directory.find(record.primary)
+        status = failover.statuses.get(record.primary)
+        return (
+            not failover.may_have_promoted
+            and not failover.is_planned
+            and entry is not None
+            and is_recorded_process(entry, record)
+            and status is not None
+            and status.is_primary
+            and not is_behind_record(status, record)
+        )
+
     def _keep_primary(
         self, name: str, failover: _Failover, now: float
     ) -> list[Emission]:
@@ -606,3 +602,11 @@
                 Emission("events", Event(EventName.DEMOTION_ORDERED, fields)),
             ]
         return emissions
+
+
+def _describe_status(status: DatabaseStatus) -> str:
+    """Return what a database reported, as text for the log."""
+    if not status.is_alive:
+        return f"{status.database}: no answer"
+    role = "primary" if status.is_primary else "replica"
+    return f"{status.database}: {role}, term {status.term}, received {status.received}"
