Find superseded primaries in one pass over the directory

Cause: the directory was searched once for each group, ten times a second at each coordinator. Change: one pass over the databases that report to be primary. No behaviour.

--- a/src/sardinemill/fleet/demotions.py
+++ b/src/sardinemill/fleet/demotions.py
@@ -32,10 +32,11 @@
 
         :param rank: place of this instance among the coordinators.
         """
+        groups = {group.group: group for group in record.groups}
         claims = {
-            (entry.name, group.term): entry
-            for group in record.groups
-            for entry in _list_superseded(group, directory)
+            (entry.name, groups[entry.group].term): entry
+            for entry in directory.databases
+            if entry.is_primary and _is_superseded(entry, groups.get(entry.group))
         }
         first_due_at = now + rank * DEMOTION_RANK_DELAY_SECONDS
         self._due_at = {key: self._due_at.get(key, first_due_at) for key in claims}
@@ -57,18 +58,15 @@
         self._due_at.clear()
 
 
-def _list_superseded(
-    group: GroupRecord, directory: Directory
-) -> Sequence[DatabaseEntry]:
-    """Return the databases that claim the role which the record gives to another one.
+def _is_superseded(entry: DatabaseEntry, group: GroupRecord | None) -> bool:
+    """Return whether the record names another primary than a database that claims it.
 
     While a failover is under way the record does not name its target yet, and without a
     recorded term no database would follow a demotion.
     """
-    if group.phase is not GroupPhase.STEADY or group.term == 0:
-        return ()
-    return [
-        entry
-        for entry in directory.list_group(group.group)
-        if entry.is_primary and entry.name != group.primary
-    ]
+    return (
+        group is not None
+        and group.phase is GroupPhase.STEADY
+        and group.term > 0
+        and entry.name != group.primary
+    )
