--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -118,6 +118,17 @@
         self.revision += 1
         self.confirm()
 
+    def let_another_write(self, **fields):
+        """Change the group's record as another coordinator with a newer token would."""
+        self.record = replace(
+            self.record,
+            groups=(replace(self.group, **fields),),
+            holder="b",
+            fence=self.record.fence + 1,
+        )
+        self.revision += 1
+        self.confirm()
+
     @property
     def group(self):
         """Return the record of the group."""
@@ -311,12 +322,7 @@
     """
     harness = make_harness()
     harness.run(2, failing=("p",))
-    taken_over = replace(harness.group, attempt=1)
-    harness.record = replace(
-        harness.record, groups=(taken_over,), holder="b", fence=harness.record.fence + 1
-    )
-    harness.revision += 1
-    harness.confirm()
+    harness.let_another_write(attempt=1)
     harness.run(3)
     assert harness.promotions == []
 
@@ -327,12 +333,7 @@
     """
     harness = make_harness()
     harness.run(2, failing=("p",))
-    finished = replace(harness.group, primary="r1", term=4, phase=GroupPhase.STEADY)
-    harness.record = replace(
-        harness.record, groups=(finished,), holder="b", fence=harness.record.fence + 1
-    )
-    harness.revision += 1
-    harness.confirm()
+    harness.let_another_write(primary="r1", term=4, phase=GroupPhase.STEADY)
     harness.run(3)
     assert harness.promotions == []
 
