Keep texts exact between client and database

Cause: the name of a prepared statement at the database was its definition, and a database reads a name up to the next blank.

Change: a definition that is not one plain word is named by its hash; texts that would change or hold a line end are refused as malformed, identifiers that are not one word end the session; a line above the limit is refused as not run (TOOLARGE) before it is sent.

--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -151,6 +151,11 @@
                 del self._sessions[session_id]
 
 
+def _is_word(text: str) -> bool:
+    """Return whether a text is one word for every reader of a line."""
+    return text.isprintable() and bool(text)
+
+
 class _RequestReader(asyncio.StreamReader):
     """Stream that can be ended while its connection is open."""
 
@@ -276,6 +281,9 @@
                 self._write("ERROR MALFORMED expected QUERY")
                 return
             statement_id, _, text = line.payload.partition(" ")
+            if not _is_word(statement_id):
+                self._write("ERROR MALFORMED the identifier is not one word")
+                return
             received = StatementReceived(
                 self._session_id, statement_id, parse_statement(text)
             )
--- a/src/sardinemill/platform/database_connection.py
+++ b/src/sardinemill/platform/database_connection.py
@@ -14,6 +14,10 @@
 INTERNAL_STATEMENT_ID = "-"
 
 
+class MessageTooLong(CodecError):
+    """A message exceeds the protocol's limit; nothing of it was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class QueryReply:
     """Complete answer to one query or opening message.
@@ -51,8 +55,14 @@
         self._writer.close()
 
     def send(self, text: str) -> None:
-        """Send one message."""
-        self._writer.write(text.encode() + b"\r\n")
+        """Send one message.
+
+        :raises MessageTooLong: when it exceeds the protocol's limit.
+        """
+        data = text.encode() + b"\r\n"
+        if len(data) > MAX_LINE_BYTES:
+            raise MessageTooLong("message too long", step="send", peer=self._peer)
+        self._writer.write(data)
 
     async def receive(self) -> QueryReply:
         """Read an answer up to and including its ``READY`` message.
--- a/src/sardinemill/platform/upstream_manager.py
+++ b/src/sardinemill/platform/upstream_manager.py
@@ -28,6 +28,7 @@
 from .background_tasks import BackgroundTasks
 from .database_connection import (
     DatabaseConnection,
+    MessageTooLong,
     QueryReply,
     open_database_connection,
 )
@@ -158,6 +159,18 @@
                 asked_at = self._clock.now()
                 connection.send(_format_query(command))
                 reply = await connection.receive()
+        except MessageTooLong:
+            # A minimum position or the name of a prepared statement was added to a text
+            # that had the length of the limit.
+            return StatementFinished(
+                connection_id=command.connection_id,
+                is_answered=True,
+                is_usable=True,
+                n_setup=n_setup,
+                failed_step=step,
+                code=ErrorCode.TOO_LARGE,
+                message="the statement is too long for the database",
+            )
         except (OSError, TimeoutError, UpstreamError, CodecError) as error:
             return StatementFinished(
                 connection_id=command.connection_id,
--- a/src/sardinemill/platform/wire.py
+++ b/src/sardinemill/platform/wire.py
@@ -1,6 +1,8 @@
 """Line-based wire protocol that clients, instances and databases share."""
 
 import asyncio
+import hashlib
+import re
 from dataclasses import dataclass
 
 from ..errors import CodecError
@@ -47,6 +49,9 @@
 }
 ERRORS_BY_WIRE_CODE = {wire_code: code for code, wire_code in WIRE_ERROR_CODES.items()}
 
+# Definitions that can be part of a name: any reader takes them for one word.
+_PLAIN_SHAPE = re.compile(r"[A-Za-z0-9_]{1,64}")
+_LINE_END = re.compile(r"[\r\n]")
 _INVALID = Statement(StatementKind.INVALID)
 # Statement kind and minimum number of arguments of each verb that takes a name.
 _VERBS_WITH_NAME = {
@@ -96,7 +101,19 @@
 
 
 def parse_statement(text: str) -> Statement:
-    """Parse the text of a query; malformed text gives the kind ``INVALID``."""
+    """Parse the text of a query; malformed text gives the kind ``INVALID``.
+
+    So does text that would reach the database in another form, with other blanks for
+    instance, and text that a database might take for two lines.
+    """
+    statement = _parse_words(text)
+    is_exact = statement.kind is StatementKind.INVALID or (
+        format_statement(statement) == text and not _LINE_END.search(text)
+    )
+    return statement if is_exact else _INVALID
+
+
+def _parse_words(text: str) -> Statement:
     verb, _, arguments = text.partition(" ")
     if verb == "BEGIN":
         if arguments in ("", "READ"):
@@ -106,7 +123,7 @@
         return Statement(StatementKind(text.lower()))
     if verb == "PREPARE":
         words = arguments.split(" ", 2)
-        if len(words) == 3 and words[0] and words[1] in ("READ", "WRITE"):
+        if len(words) == 3 and all(words) and words[1] in ("READ", "WRITE"):
             return Statement(
                 StatementKind.PREPARE, words[0], words[2], words[1] == "READ"
             )
@@ -166,5 +183,11 @@
     """Return the name of a prepared statement at the database.
 
     Equal definitions have the same name, so that clients share one prepared statement.
+    A definition that is not one plain word is replaced by its hash: a database reads a
+    name up to the next blank.
     """
-    return f"{'r' if prepared.is_read_only else 'w'}_{prepared.shape}"
+    mode = "r" if prepared.is_read_only else "w"
+    if _PLAIN_SHAPE.fullmatch(prepared.shape):
+        return f"{mode}_{prepared.shape}"
+    digest = hashlib.blake2b(prepared.shape.encode(), digest_size=16).hexdigest()
+    return f"{mode}-{digest}"
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -70,6 +70,10 @@
         "COMMIT now",
         "read 1a4",
         " READ 1a4",
+        "READ 1a4 ",
+        "PREPARE s1 WRITE ",
+        "READ 1a4\nQUERY 2 WRITE 1a4 data",
+        "WRITE 1a4 a\rb",
     ],
 )
 def test_other_texts_are_invalid(text):
@@ -111,14 +115,39 @@
     assert read(b"QUERY 1 WRITE 1a4 da") is None
 
 
+FIELDS = st.text("ab1 \t\u00e9\u3042_-", max_size=12)
+
+
+@settings(derandomize=True, max_examples=500)
+@given(shape=FIELDS, arguments=FIELDS, is_read_only=st.booleans())
+def test_database_reads_the_prepared_statement_that_the_client_meant(
+    shape, arguments, is_read_only
+):
+    """Guards against a definition with blanks that ends the name early, so that a write
+    runs as a read of another item. The database splits at blanks, the last field
+    extends to the end.
+    """
+    mode = "READ" if is_read_only else "WRITE"
+    definition = parse_statement(f"PREPARE s1 {mode} {shape}")
+    execution = parse_statement(f"EXECUTE s1 {arguments}")
+    if StatementKind.INVALID in (definition.kind, execution.kind):
+        return
+    name = make_prepared_name(PreparedStatement(definition.argument, is_read_only))
+    prepare = format_statement(definition, name).split(" ", 3)
+    execute = format_statement(execution, name).split(" ", 2)
+    assert prepare == ["PREPARE", name, mode, shape]
+    assert execute == ["EXECUTE", name, arguments]
+
+
 def test_equal_definitions_share_a_name_and_others_do_not():
     """Guards against a shared prepared statement that runs another definition."""
     names = {
         make_prepared_name(PreparedStatement(shape, is_read_only))
-        for shape in ("q2c", "q2d")
+        for shape in ("q2c", "q2d", "q2c READ", "q2c  READ", "r-q2c", "q" * 70)
         for is_read_only in (True, False)
     }
-    assert len(names) == 4
+    assert len(names) == 12
+    assert all(len(name) < 70 and " " not in name for name in names)
 
 
 @pytest.mark.parametrize(
