Serve evacuations of data centres

Cause: an evacuation was not known to the code.

Change: evacuations are read with the list of databases, where the settings state a time for them, and travel with it. One function decides for what a database may be used. Primaries move out by a planned failover; databases of evacuated data centres are no candidates; queued statements are placed again, open transactions end with their connection after a grace period, gateways hand statements back. The overview, two events and the operators' pages show it; the soak evacuates data centres too.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     directory: Path = Path("soak-logs"),
     regressions: bool = False,
     stops_only: bool = False,
+    evacuations_only: bool = False,
 ) -> int:
     """Run seeds one after the other and print a line for each.
 
@@ -34,6 +35,8 @@
     :param directory: receives the logs of each seed that failed.
     :param stops_only: stop instances by SIGTERM in overlapping series, and disturb
         nothing else.
+    :param evacuations_only: evacuate data centres one after the other, and disturb
+        nothing else.
     :param regressions: run the seeds that once failed instead, as they were.
     :returns: 1 when a promise was broken.
     """
@@ -45,6 +48,8 @@
             n_clients=n_clients,
             seconds=seconds,
             has_only_stops=stops_only,
+            has_evacuations=not stops_only,
+            has_only_evacuations=evacuations_only,
         )
         for seed in range(first, first + n_seeds)
     ]
--- a/soak/databases.py
+++ b/soak/databases.py
@@ -10,7 +10,9 @@
 from .links import HEALTHY, LinkProxy
 
 GROUP = "g"
-DATABASE_NAMES = ("db1", "db2", "db3")
+# Data centre of each database; the first one is the first primary.
+DATA_CENTRES = {"db1": "x", "db2": "y", "db3": "z"}
+DATABASE_NAMES = tuple(DATA_CENTRES)
 
 
 class GroupMember(LineProtocolDatabase):
@@ -20,16 +22,20 @@
     it becomes a replica.
 
     :ivar ended_at: time at which each statement of a client was executed.
+    :ivar work_times: times of all statements but status queries, in order.
     """
 
     def __init__(self, name: str, group: str, *, is_primary: bool = False) -> None:
         super().__init__(name, group, is_primary=is_primary)
         self.ended_at: dict[str, float] = {}
+        self.work_times: list[float] = []
 
     def _execute_request(
         self, connection: Any, statement_id: str, text: str
     ) -> list[str]:
         self.ended_at[statement_id] = time.monotonic()
+        if text != "STATUS":
+            self.work_times.append(time.monotonic())
         return super()._execute_request(connection, statement_id, text)
 
     def append_commit(self, commit: Commit) -> None:
@@ -151,7 +157,7 @@
             {
                 "service": GROUP,
                 "address": f"127.0.0.1:{self.links[name].port}",
-                "zone": "x",
+                "zone": DATA_CENTRES[name],
                 "slots": 8,
                 "state": "ready",
                 "database_role": "primary" if database.is_primary else "replica",
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -12,6 +12,7 @@
 
 from sardinemill.emulator.object_store_server import ObjectStoreServer
 
+from .evacuations import EVACUATION_SECONDS
 from .history import Violation
 from .links import HEALTHY, LinkProxy
 from .stops import PlannedStop
@@ -104,6 +105,7 @@
             "platform.address": store,
             "cloud.address": store,
             "bounds.grace_s": str(GRACE_PERIOD_SECONDS),
+            "bounds.evacuation_ms": str(round(EVACUATION_SECONDS * 1000)),
         }
         text = "".join(f"{name}={value}\n" for name, value in fields.items())
         self._settings_path.write_text(text, encoding="utf-8")
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -13,7 +13,14 @@
 from sardinemill.emulator.object_store_server import ObjectStoreServer
 
 from .clients import ClientPlan, SessionClient
-from .databases import GROUP, DatabaseGroup
+from .databases import DATA_CENTRES, GROUP, DatabaseGroup
+from .evacuations import (
+    EvacuationPeriod,
+    PlannedEvacuation,
+    check_evacuations,
+    plan_evacuations,
+    run_evacuations,
+)
 from .faults import (
     Fault,
     FaultTargets,
@@ -65,6 +72,9 @@
     :param seconds: time with faults.
     :param has_only_stops: whether the only faults are overlapping planned stops; they
         are waited for beyond ``seconds``, and clients keep their sessions.
+    :param has_evacuations: whether data centres are evacuated besides the faults.
+    :param has_only_evacuations: whether nothing else happens; only then an instance
+        must have learned of each evacuation in time.
     """
 
     seed: int
@@ -72,6 +82,8 @@
     n_clients: int = 9
     seconds: float = 30.0
     has_only_stops: bool = False
+    has_evacuations: bool = False
+    has_only_evacuations: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,6 +191,8 @@
                 schedule = make(
                     self._random, self._plan.n_instances, self._plan.seconds
                 )
+                if self._plan.has_only_evacuations:
+                    schedule = []
                 await self._run_with_faults(schedule)
                 recovery_seconds = await self._recover(http_session)
             self._check_final_state()
@@ -261,6 +275,9 @@
         targets = FaultTargets(self._instances, self._group, self._store)
         clients = [asyncio.create_task(item.run()) for item in self._clients]
         watcher = asyncio.create_task(self._watch_processes())
+        evacuations = asyncio.create_task(
+            run_evacuations(self._plan_evacuations(), self._store)
+        )
         began_at = time.monotonic()
         faults: list[asyncio.Task[float]] = []
         fault_began_at: list[float] = []
@@ -273,6 +290,10 @@
         await asyncio.sleep(max(0.0, began_at + self._plan.seconds - time.monotonic()))
         if self._plan.has_only_stops:
             await asyncio.gather(*faults, return_exceptions=True)
+        if self._plan.has_only_evacuations:
+            self._check_evacuations(await evacuations)
+        evacuations.cancel()
+        await asyncio.gather(evacuations, return_exceptions=True)
         for task in faults:
             task.cancel()
         results: list[object] = []
@@ -291,6 +312,24 @@
             if isinstance(result, Exception):
                 raise result
 
+    def _plan_evacuations(self) -> list[PlannedEvacuation]:
+        plan = self._plan
+        if not (plan.has_evacuations or plan.has_only_evacuations):
+            return []
+        # A generator of its own keeps the other faults of a seed as they are.
+        return plan_evacuations(
+            Random(f"evacuations of {plan.seed}"),
+            sorted(DATA_CENTRES.values()),
+            plan.seconds,
+        )
+
+    def _check_evacuations(self, periods: list[EvacuationPeriod]) -> None:
+        work_times = {
+            name: database.work_times
+            for name, database in self._group.databases.items()
+        }
+        self._violations += check_evacuations(periods, DATA_CENTRES, work_times)
+
     def _record_disturbance(
         self, fault: Fault, began_at: float, ended_at: float
     ) -> None:
--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -208,6 +208,15 @@
 
     DATABASES_CHANGED = EventKind(510, "info", "The list of databases has changed.")
 
+    EVACUATION_STARTED = EventKind(
+        511,
+        "warning",
+        "Operators evacuate a data centre; its databases get no new work.",
+    )
+    EVACUATION_ENDED = EventKind(
+        512, "info", "A data centre is no longer evacuated; its databases are used."
+    )
+
     # 6xx membership and peers
     INSTANCE_SUSPECTED = EventKind(
         601, "warning", "An instance is suspected to have failed."
--- a/src/sardinemill/fleet/configuration_cache.py
+++ b/src/sardinemill/fleet/configuration_cache.py
@@ -54,15 +54,34 @@
         self._directory_read_at = read_at
         if directory == self.directory:
             return []
-        self.directory = directory
+        previous, self.directory = self.directory, directory
         self.digest = make_digest(directory)
         fields = {"n_databases": len(directory.databases), "digest": self.digest}
         return [
             Emission("directory", DirectoryChanged(directory)),
             Emission("events", Event(EventName.DATABASES_CHANGED, fields)),
+            *_log_evacuations(previous, directory),
         ]
 
 
 def make_digest(directory: Directory) -> str:
-    """Return a hash of a directory, by which instances compare their copies."""
-    return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(directory))
+    """Return a hash of a directory, by which instances compare their copies.
+
+    Without evacuations it is the hash of the versions that know of none, so that
+    instances of both versions do not send each other the directory in each answer.
+    """
+    content: dict[str, object] = {"databases": directory.databases}
+    if directory.evacuated_data_centres:
+        content["evacuated_data_centres"] = directory.evacuated_data_centres
+    return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(content))
+
+
+def _log_evacuations(previous: Directory, current: Directory) -> list[Emission]:
+    before = set(previous.evacuated_data_centres)
+    after = set(current.evacuated_data_centres)
+    changes = [(EventName.EVACUATION_STARTED, name) for name in sorted(after - before)]
+    changes += [(EventName.EVACUATION_ENDED, name) for name in sorted(before - after)]
+    return [
+        Emission("events", Event(event_name, {"evacuated": name}))
+        for event_name, name in changes
+    ]
--- a/src/sardinemill/fleet/demotions.py
+++ b/src/sardinemill/fleet/demotions.py
@@ -19,7 +19,8 @@
     Which ones follows from the fleet record and the directory alone, so any coordinator
     acts on it at any time, whoever carried out the failover. A database follows a
     demotion only if its own term is lower than that of the record, so one that was
-    promoted later is not affected by an old copy of the record.
+    promoted later is not affected by an old copy of the record. Databases of evacuated
+    data centres get nothing; no instance uses them.
     """
 
     def __init__(self) -> None:
@@ -36,7 +37,9 @@
         claims = {
             (entry.name, groups[entry.group].term): entry
             for entry in directory.databases
-            if entry.is_primary and _is_superseded(entry, groups.get(entry.group))
+            if entry.is_primary
+            and not directory.is_evacuated(entry)
+            and _is_superseded(entry, groups.get(entry.group))
         }
         first_due_at = now + rank * DEMOTION_RANK_DELAY_SECONDS
         self._due_at = {key: self._due_at.get(key, first_due_at) for key in claims}
--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -24,7 +24,7 @@
     QueryDatabaseStatus,
 )
 from .failure_detection import (
-    LEAVING,
+    PLANNED_REASONS,
     UNREACHABLE,
     UNREACHABLE_SECONDS,
     PrimaryFailureDetector,
@@ -261,7 +261,9 @@
         return [
             item
             for item in self._directory.list_group(group)
-            if item.name != primary and not item.is_leaving
+            if item.name != primary
+            and not item.is_leaving
+            and not self._directory.is_evacuated(item)
         ]
 
     def _probe(self, database: str, state: _GroupState, now: float) -> list[Emission]:
@@ -286,7 +288,7 @@
             started_at=now,
             record=marked,
             reason=reason,
-            is_planned=reason == LEAVING,
+            is_planned=reason in PLANNED_REASONS,
         )
         return [
             Emission(
@@ -414,7 +416,12 @@
         old = self._directory.find(failover.record.primary)
         waited = now - failover.queried_since
         if self._may_keep_primary(failover):
-            return self._keep_primary(name, failover, now)
+            reason = "the primary answers again"
+            return self._keep_primary(name, failover, reason, now)
+        has_no_candidate = not self._has_candidate(failover.record)
+        if has_no_candidate and failover.is_planned and not failover.may_have_promoted:
+            # Also the last candidate is evacuated or leaves. The primary still serves.
+            return self._keep_primary(name, failover, "there is no candidate", now)
         names = {item.name for item in candidates}
         best = choose_candidate(
             item for item in failover.statuses.values() if item.database in names
@@ -448,13 +455,13 @@
         )
 
     def _keep_primary(
-        self, name: str, failover: _Failover, now: float
+        self, name: str, failover: _Failover, reason: str, now: float
     ) -> list[Emission]:
-        """Keep the primary, which answers again before any promotion was requested."""
+        """Keep the primary, since no promotion was requested."""
         failover.step = FailoverStep.RECORD
         failover.target = failover.record.primary
         failover.due_at = now + 0.5
-        fields = {"group": name, "reason": "the primary answers again"}
+        fields = {"group": name, "reason": reason}
         return [
             Emission("proposals", self._make_final_proposal(failover)),
             Emission("events", Event(EventName.CHANGE_ABANDONED, fields)),
--- a/src/sardinemill/fleet/failure_detection.py
+++ b/src/sardinemill/fleet/failure_detection.py
@@ -14,6 +14,9 @@
 ABSENCE_TIMEOUT_SECONDS = 2.5
 UNREACHABLE = "unreachable"
 LEAVING = "leaving"
+EVACUATED = "its data centre is evacuated"
+# Reasons for which a primary that still serves is replaced.
+PLANNED_REASONS = (LEAVING, EVACUATED)
 NEVER = float("-inf")
 
 
@@ -58,6 +61,8 @@
                 return LEAVING
             if record.primary_born_ms and entry.born_ms != record.primary_born_ms:
                 return "restarted empty"
+            if directory.is_evacuated(entry):
+                return EVACUATED
         is_failing = (
             failed_at > alive_at and now - failed_at < FAILURE_RETENTION_SECONDS
         )
--- a/src/sardinemill/fleet/records.py
+++ b/src/sardinemill/fleet/records.py
@@ -109,9 +109,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Directory:
-    """Databases that are registered in the store."""
+    """Databases that are registered in the store, and requests of operators for them.
+
+    :param evacuated_data_centres: names of the data centres whose databases must get
+        nothing more, in order.
+    """
 
     databases: tuple[DatabaseEntry, ...] = ()
+    evacuated_data_centres: tuple[str, ...] = ()
+
+    def is_evacuated(self, entry: DatabaseEntry) -> bool:
+        """Return whether operators evacuate the data centre of a database."""
+        return entry.data_centre in self.evacuated_data_centres
 
     def find(self, name: str) -> DatabaseEntry | None:
         """Return the entry of a database, ``None`` if it is not registered."""
--- a/src/sardinemill/overview.py
+++ b/src/sardinemill/overview.py
@@ -8,7 +8,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .fleet.records import Coordinator, Directory, FleetRecord, GroupPhase
+from .fleet.records import (
+    Coordinator,
+    DatabaseEntry,
+    Directory,
+    FleetRecord,
+    GroupPhase,
+)
 from .sessions.routes import Configuration
 
 
@@ -73,6 +79,9 @@
         primary.
     :param is_primary_present: whether the primary is registered in the store.
     :param leaving: databases that accept no new work.
+    :param evacuated: databases whose data centres are evacuated.
+    :param evacuation: what holds of an evacuated primary: ``moving``, or why it cannot
+        move; empty if the primary is not evacuated.
     """
 
     group: str
@@ -82,6 +91,8 @@
     n_databases: int
     is_primary_present: bool
     leaving: tuple[str, ...]
+    evacuated: tuple[str, ...] = ()
+    evacuation: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -105,6 +116,7 @@
     :param coordinators: instances that may fail over primaries once established.
     :param holder: instance that last started or took over a failover.
     :param fence: fencing token of the holder; increases with each change of holder.
+    :param evacuated_data_centres: whose databases must get nothing.
     """
 
     configuration_version: int
@@ -115,6 +127,7 @@
     groups: tuple[GroupOverview, ...]
     workspaces: tuple[WorkspaceOverview, ...]
     instances: tuple[InstanceCounters, ...]
+    evacuated_data_centres: tuple[str, ...] = ()
 
 
 async def read_overview(
@@ -149,6 +162,7 @@
             for item in configuration.workspaces
         ),
         instances=tuple([await counters.fetch(address) for address in addresses]),
+        evacuated_data_centres=directory.evacuated_data_centres,
     )
 
 
@@ -166,4 +180,20 @@
         n_databases=len(databases),
         is_primary_present=any(item.name == primary for item in databases),
         leaving=tuple(item.name for item in databases if item.is_leaving),
+        evacuated=tuple(
+            item.name for item in databases if directory.is_evacuated(item)
+        ),
+        evacuation=_describe_evacuation(primary, databases, directory),
+    )
+
+
+def _describe_evacuation(
+    primary: str, databases: Sequence[DatabaseEntry], directory: Directory
+) -> str:
+    entry = directory.find(primary)
+    if entry is None or not directory.is_evacuated(entry):
+        return ""
+    has_candidate = any(
+        not item.is_leaving and not directory.is_evacuated(item) for item in databases
     )
+    return "moving" if has_candidate else "no database elsewhere"
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -18,6 +18,7 @@
 from ..interfaces import Outlet
 from ..session_composition import SessionInstance, SessionInstanceAdapters
 from ..session_measurements import SessionMeasurements
+from ..sessions.database_usage import compute_evacuation_grace
 from .clients import ClientListener
 from .metrics import make_metrics
 from .probe_server import ProbeServer
@@ -61,7 +62,13 @@
             clock=clock,
             random_source=random_source,
             events=events,
-            make_store=lambda sink: PlatformStoreTask(store, sink, clock, events),
+            make_store=lambda sink: PlatformStoreTask(
+                store,
+                sink,
+                clock,
+                events,
+                has_evacuations=settings.evacuation_seconds > 0,
+            ),
             make_peer_link=lambda sink: ZmqPeerLink(
                 settings.instance,
                 settings.peer_address,
@@ -82,6 +89,7 @@
         ),
         stop_seconds=settings.stop_seconds,
         tolerance=settings.rate_tolerance,
+        evacuation_grace_seconds=compute_evacuation_grace(settings.evacuation_seconds),
     )
     return instance
 
--- a/src/sardinemill/platform/overview.py
+++ b/src/sardinemill/platform/overview.py
@@ -1,5 +1,7 @@
 """Readers of the platform's store and of instances' metrics for the command line."""
 
+from dataclasses import replace
+
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -11,12 +13,13 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     DATABASE_KIND,
+    EVACUATION_KIND,
     RECORD_KIND,
     RECORD_NAME,
     PlatformStore,
     decode_record,
 )
-from .store_documents import decode_configuration, decode_directory
+from .store_documents import decode_configuration, decode_directory, decode_evacuations
 
 # The instances are queried one after the other while an operator waits; a healthy one
 # answers in milliseconds.
@@ -54,7 +57,10 @@
         :raises StoreError: when the store fails.
         """
         objects = await self._store.list(DATABASE_KIND)
-        return decode_directory([(item.name, item.content) for item in objects])
+        directory = decode_directory([(item.name, item.content) for item in objects])
+        evacuations = await self._store.list(EVACUATION_KIND)
+        names = decode_evacuations(item.name for item in evacuations)
+        return replace(directory, evacuated_data_centres=names)
 
     async def read_configuration(self) -> Configuration | None:
         """Return the configuration, ``None`` if there is none.
--- a/src/sardinemill/platform/settings.py
+++ b/src/sardinemill/platform/settings.py
@@ -33,6 +33,8 @@
     "bounds.quota_window_s": "5",
     "bounds.quota_overshoot": "0.1",
     "bounds.quota_slack": "20",
+    # 0 where operators cannot evacuate a data centre.
+    "bounds.evacuation_ms": "0",
     "limits.cpu_share": "1",
     "limits.cores": "1",
 }
@@ -58,6 +60,8 @@
     :param leave_seconds: time within which a draining database must stop receiving
         new work.
     :param rate_tolerance: how far operations may exceed the plan of a workspace.
+    :param evacuation_seconds: time after which nothing may reach the databases of an
+        evacuated data centre, 0 if there are no evacuations.
     :param gateway_capacity: processor capacity in tenths of a core, at least 1.
     """
 
@@ -74,6 +78,7 @@
     leave_seconds: float
     rate_tolerance: RateTolerance = DEFAULT_TOLERANCE
     gateway_capacity: int = 10
+    evacuation_seconds: float = 0.0
 
 
 def read_platform_settings(environment: Mapping[str, str]) -> PlatformSettings:
@@ -154,6 +159,7 @@
             fraction=numbers["bounds.quota_overshoot"],
             n_operations=numbers["bounds.quota_slack"],
         ),
+        evacuation_seconds=numbers["bounds.evacuation_ms"] / 1000,
         gateway_capacity=max(1, round(n_cores / CAPACITY_UNIT_CORES)),
     )
 
--- a/src/sardinemill/platform/store.py
+++ b/src/sardinemill/platform/store.py
@@ -2,7 +2,7 @@
 
 import traceback
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from urllib.parse import urlencode
 
@@ -10,7 +10,7 @@
 
 from ..errors import ConfigurationError, StoreConflict, StoreError, StoreUnavailable
 from ..events import Event, EventName
-from ..fleet.records import FleetRecord
+from ..fleet.records import Directory, FleetRecord
 from ..fleet.store_messages import (
     ConfigurationRead,
     DirectoryRead,
@@ -33,6 +33,7 @@
     SkippedEntry,
     decode_configuration,
     decode_database_entries,
+    decode_evacuations,
 )
 
 # A slow store answers in about 0.25 s.
@@ -45,6 +46,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 DATABASE_KIND = "servers"
+# Objects by which operators ask to evacuate the data centre of that name.
+EVACUATION_KIND = "evacuations"
 
 # Bounds of the log line about skipped entries; other writers choose the names.
 MAX_LOGGED_ENTRIES = 20
@@ -221,11 +224,19 @@
 
     :param sink: receives the outcomes.
     :param events: receives log events.
+    :param has_evacuations: operators may evacuate data centres.
     """
 
     def __init__(
-        self, store: PlatformStore, sink: Outlet, clock: Clock, events: Outlet
+        self,
+        store: PlatformStore,
+        sink: Outlet,
+        clock: Clock,
+        events: Outlet,
+        *,
+        has_evacuations: bool = False,
     ) -> None:
+        self._has_evacuations = has_evacuations
         self._store = store
         self._sink = sink
         self._clock = clock
@@ -286,11 +297,7 @@
                 decode_record(found), found.revision, asked_at, request.may_be_stale
             )
         if isinstance(request, ReadDirectory):
-            objects = await self._store.list(DATABASE_KIND)
-            pairs = [(item.name, item.content) for item in objects]
-            directory, skipped = decode_database_entries(pairs)
-            self._log_skipped(skipped)
-            return DirectoryRead(directory, asked_at)
+            return DirectoryRead(await self._read_directory(), asked_at)
         if isinstance(request, WriteRecord):
             content = msgspec.to_builtins(request.record)
             revision = await self._store.put(
@@ -300,6 +307,17 @@
         found = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
         return ConfigurationRead(self._decode_configuration(found), asked_at)
 
+    async def _read_directory(self) -> Directory:
+        objects = await self._store.list(DATABASE_KIND)
+        pairs = [(item.name, item.content) for item in objects]
+        directory, skipped = decode_database_entries(pairs)
+        self._log_skipped(skipped)
+        if not self._has_evacuations:
+            return directory
+        evacuations = await self._store.list(EVACUATION_KIND)
+        names = decode_evacuations(item.name for item in evacuations)
+        return replace(directory, evacuated_data_centres=names)
+
     def _log_skipped(self, skipped: tuple[SkippedEntry, ...]) -> None:
         """Log the skipped entries of databases if they have changed."""
         if skipped == self._skipped:
--- a/src/sardinemill/platform/store_documents.py
+++ b/src/sardinemill/platform/store_documents.py
@@ -135,6 +135,14 @@
     return directory, tuple(sorted(skipped, key=lambda item: (item.name, item.reason)))
 
 
+def decode_evacuations(names: Iterable[str]) -> tuple[str, ...]:
+    """Decode the names of the objects that ask to evacuate a data centre.
+
+    :returns: the names of the data centres, sorted; others are skipped.
+    """
+    return tuple(sorted({name for name in names if _is_name(name)}))
+
+
 def _decode_database_entry(name: str, content: object) -> DatabaseEntry:
     """Decode the entry of one database.
 
--- a/src/sardinemill/presentation.py
+++ b/src/sardinemill/presentation.py
@@ -147,6 +147,7 @@
             _describe_phase(item),
             item.n_databases,
             " ".join(item.leaving) or "-",
+            " ".join(item.evacuated) or "-",
         )
         for item in fleet.groups
     ]
@@ -170,10 +171,22 @@
             ("coordinator", "data centre", "may change primaries"), coordinators
         ),
         format_table(
-            ("group", "primary", "term", "phase", "databases", "leaving"), groups
+            (
+                "group",
+                "primary",
+                "term",
+                "phase",
+                "databases",
+                "leaving",
+                "evacuated",
+            ),
+            groups,
         ),
         format_table(("workspace", "per second", "burst", "keys"), workspaces),
     ]
+    if fleet.evacuated_data_centres:
+        names = ", ".join(fleet.evacuated_data_centres)
+        parts.insert(1, f"evacuated data centres: {names}\n")
     if instances:
         header = ("instance", "configuration", "statements by outcome")
         parts.append(format_table(header, instances))
@@ -185,7 +198,9 @@
         return "changing"
     if not group.primary:
         return "no primary"
-    return "steady" if group.is_primary_present else "primary not listed"
+    if not group.is_primary_present:
+        return "primary not listed"
+    return f"evacuated, {group.evacuation}" if group.evacuation else "steady"
 
 
 def _format_age(seconds: float | None) -> str:
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -306,6 +306,8 @@
 
     :param stop_seconds: time from the stop signal until the process is killed.
     :param tolerance: of the rate limits.
+    :param evacuation_grace_seconds: time for open transactions after the instance has
+        learned that a data centre is evacuated.
     """
 
     def __init__(
@@ -315,6 +317,7 @@
         *,
         stop_seconds: float,
         tolerance: RateTolerance = DEFAULT_TOLERANCE,
+        evacuation_grace_seconds: float = 0.0,
     ) -> None:
         self._clock = adapters.clock
         self._events = adapters.events
@@ -326,9 +329,14 @@
         session_manager = self._make_stage("session manager", SessionManager())
         admission = self._make_stage("admission", Admission(identity.name, tolerance))
         placement = self._make_stage(
-            "placement", Placement(identity.data_centre, identity.name, identity)
+            "placement",
+            Placement(
+                identity.data_centre, identity.name, identity, evacuation_grace_seconds
+            ),
+        )
+        gateway = self._make_stage(
+            "gateway", Gateway(identity.data_centre, evacuation_grace_seconds)
         )
-        gateway = self._make_stage("gateway", Gateway(identity.data_centre))
         self.readiness = Readiness()
         observer = adapters.observer
         store = adapters.make_store(FanOut([state, observer]))
--- a/src/sardinemill/sessions/connection_pool.py
+++ b/src/sardinemill/sessions/connection_pool.py
@@ -218,6 +218,24 @@
         """Remove and return all queued statements."""
         return self.expire(math.inf)
 
+    def remove_queued(self, database: str) -> list[Dispatch]:
+        """Remove and return the queued statements of a database."""
+        queued = self._state.list_queued(database)
+        for dispatch in queued:
+            self._state.remove_queued(dispatch)
+        return queued
+
+    def close_connections(self, database: str) -> list[Emission]:
+        """Close the connections to a database that run no statement.
+
+        Closing a connection rolls back its transaction.
+        """
+        return [
+            self._close(connection)
+            for connection in self._state.list_connections(database)
+            if connection.dispatch is None
+        ]
+
     def remove_due_before(self, database: str, end: float) -> list[Dispatch]:
         """Remove and return the queued statements whose attempt deadline is earlier."""
         due = [
--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -10,6 +10,7 @@
 from ..fleet.views import PositionSeen, RecordConfirmed, merge_positions
 from ..groups import rank_candidates
 from ..positions import LogPosition
+from .database_usage import DatabaseCondition, Usage, UsageDecision, decide_usage
 from .messages import StatementRequest
 
 # A replica that lacked the minimum position of a read gets no reads for this time.
@@ -36,11 +37,20 @@
     :param data_centre: of this instance; databases of other data centres cost more.
     :param instance: name of this instance; instances order databases of equal cost
         differently, so that they do not all use the same one.
+    :param evacuation_grace_seconds: time for open transactions after this instance has
+        learned of an evacuation.
     """
 
-    def __init__(self, data_centre: str, instance: str = "") -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        instance: str = "",
+        evacuation_grace_seconds: float = 0.0,
+    ) -> None:
         self._data_centre = data_centre
         self._instance = instance
+        self._evacuation_grace_seconds = evacuation_grace_seconds
+        self._evacuated_since: dict[str, float] = {}
         self._preferences: dict[str, int] = {}
         self._record = FleetRecord()
         self._confirmed_at = NEVER
@@ -72,6 +82,10 @@
             name: item for name, item in self._removed.items() if name not in present
         }
         self._directory = directory
+        self._evacuated_since = {
+            name: self._evacuated_since.get(name, now)
+            for name in directory.evacuated_data_centres
+        }
         ranked = rank_candidates(self._instance, present)
         self._preferences = {name: rank for rank, name in enumerate(ranked)}
 
@@ -102,8 +116,40 @@
             entry = removed_entry if now - removed_at < REMOVAL_GRACE_SECONDS else None
         return entry
 
+    def decide_usage(self, entry: DatabaseEntry, now: float) -> UsageDecision:
+        """Return for what a database may be used now, and why."""
+        since = self._evacuated_since.get(entry.data_centre)
+        condition = DatabaseCondition(
+            is_leaving=entry.is_leaving,
+            is_lagging=now < self._lagging_until.get(entry.name, NEVER),
+            evacuated_seconds=None if since is None else now - since,
+        )
+        return decide_usage(condition, self._evacuation_grace_seconds)
+
+    def list_evacuated(self, now: float) -> list[DatabaseEntry]:
+        """Return the databases of evacuated data centres."""
+        if not self._evacuated_since:
+            return []
+        removed = [entry for entry, _ in self._removed.values()]
+        return [
+            entry
+            for entry in (*self._directory.databases, *removed)
+            if entry.data_centre in self._evacuated_since
+        ]
+
     def find_primary(self, group: str, now: float) -> DatabaseEntry | None:
-        """Return the primary of a group if this instance may use it now.
+        """Return the primary of a group if this instance may send work to it now.
+
+        :returns: ``None`` when there is no leased primary, or when it must get nothing
+            because its data centre is evacuated.
+        """
+        entry = self.find_leased_primary(group, now)
+        if entry is None or self.decide_usage(entry, now).usage is Usage.NOTHING:
+            return None
+        return entry
+
+    def find_leased_primary(self, group: str, now: float) -> DatabaseEntry | None:
+        """Return the primary of a group on which this instance holds a lease.
 
         :returns: ``None`` without a primary lease, during a failover, when the
             primary is unknown, or when it restarted since the record named it.
@@ -175,14 +221,9 @@
         costs: dict[DatabaseEntry, float] = {}
         for entry in self._list_group(group, now):
             is_primary = primary is not None and entry.name == primary.name
-            is_lagging = now < self._lagging_until.get(entry.name, NEVER)
-            if (
-                entry.name in tried
-                or entry.is_leaving
-                or entry.name == unusable_primary
-            ):
+            if entry.name in tried or entry.name == unusable_primary:
                 continue
-            if is_lagging and not is_primary:
+            if self.decide_usage(entry, now).usage is not Usage.NEW_WORK:
                 continue
             cost = estimate_load(entry) + self._estimate_cost(entry, now)
             cost += PRIMARY_COST if is_primary else 0.0
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -18,6 +18,7 @@
     classify_effect,
 )
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
+from .database_usage import Usage
 from .databases import DatabaseView
 from .gateway_messages import (
     ForwardedStatementsInProgress,
@@ -80,10 +81,14 @@
     (:class:`ForwardedStatementsInProgress`, only while draining), ``events``.
 
     :param data_centre: of this instance.
+    :param evacuation_grace_seconds: time for statements under way after this instance
+        has learned of an evacuation.
     """
 
-    def __init__(self, data_centre: str) -> None:
-        self._databases = DatabaseView(data_centre)
+    def __init__(self, data_centre: str, evacuation_grace_seconds: float = 0.0) -> None:
+        self._databases = DatabaseView(
+            data_centre, evacuation_grace_seconds=evacuation_grace_seconds
+        )
         self._limits = PoolLimits(
             self._databases, GATEWAY_QUOTA_FRACTION, STATEMENTS_PER_SLOT
         )
@@ -152,6 +157,7 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             emissions += self._pool.close_idle(now)
+            emissions += self._withdraw_evacuated(now)
             # By now the link knows the addresses of those that sent a greeting.
             emissions += [
                 Emission("peers", PeerEnvelope(peer=peer, message=GatewayWelcome()))
@@ -162,6 +168,20 @@
             emissions += self._emit_in_progress()
         return emissions
 
+    def _withdraw_evacuated(self, now: float) -> list[Emission]:
+        """Give up databases that must get nothing more."""
+        emissions: list[Emission] = []
+        for entry in self._databases.list_evacuated(now):
+            decision = self._databases.decide_usage(entry, now)
+            if decision.usage is not Usage.NOTHING:
+                continue
+            emissions += [
+                self._pass_by(dispatch.request, decision.reason)
+                for dispatch in self._pool.remove_queued(entry.name)
+            ]
+            emissions += self._pool.close_connections(entry.name)
+        return emissions
+
     def _end_statements(self) -> list[Emission]:
         """Give an outcome to all statements, because the instance is about to stop."""
         emissions = [
@@ -207,9 +227,13 @@
         self._origins[request.request_id] = _Origin(peer, message.number)
         if now >= self._closes_at:
             return [*emissions, self._pass_by(request, STOP_REASON)]
-        if self._databases.find_entry(message.database, now) is None:
+        entry = self._databases.find_entry(message.database, now)
+        if entry is None:
             text = "the gateway does not know the database"
             return [*emissions, self._pass_by(request, text)]
+        decision = self._databases.decide_usage(entry, now)
+        if decision.usage is Usage.NOTHING:
+            return [*emissions, self._pass_by(request, decision.reason)]
         reason = self._find_refusal(dispatch, now)
         if reason is not None:
             return [*emissions, self._refuse(dispatch, reason)]
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -25,6 +25,7 @@
 )
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
 from .connections import QUOTA_FRACTION, Connection
+from .database_usage import Usage
 from .databases import DatabaseView
 from .gateway_client import ForwardedStatement, GatewayClient
 from .gateway_messages import GatewayOutcome
@@ -90,6 +91,8 @@
     :param data_centre: of this instance.
     :param instance: name of this instance.
     :param identity: of this instance, for gateways; without one it uses none.
+    :param evacuation_grace_seconds: time for open transactions after this instance has
+        learned of an evacuation.
     """
 
     def __init__(
@@ -97,8 +100,9 @@
         data_centre: str,
         instance: str = "",
         identity: Identity | None = None,
+        evacuation_grace_seconds: float = 0.0,
     ) -> None:
-        self._databases = DatabaseView(data_centre, instance)
+        self._databases = DatabaseView(data_centre, instance, evacuation_grace_seconds)
         self._limits = PoolLimits(self._databases, QUOTA_FRACTION)
         self._pool = ConnectionPool(self._limits)
         self._gateways = GatewayClient(identity)
@@ -138,6 +142,7 @@
             self._databases.merge_position(message)
         elif isinstance(message, DirectoryChanged):
             self._databases.update_directory(message.directory, now)
+            return self._withdraw_evacuated(now)
         elif isinstance(message, RoutesChanged):
             self._limits.max_connections = message.table.max_connections
         elif isinstance(message, ReachableCoordinatorsChanged):
@@ -162,9 +167,30 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             emissions += self._pool.close_idle(now)
+            emissions += self._withdraw_evacuated(now)
             emissions += self._emit_lease_change(now)
         return emissions
 
+    def _withdraw_evacuated(self, now: float) -> list[Emission]:
+        """Place queued statements elsewhere and close connections in evacuations."""
+        emissions: list[Emission] = []
+        for entry in self._databases.list_evacuated(now):
+            primary = self._databases.find_primary(entry.group, now)
+            if primary is not None and primary.name == entry.name:
+                continue
+            decision = self._databases.decide_usage(entry, now)
+            for dispatch in self._pool.remove_queued(entry.name):
+                emissions += self._finish_attempt(
+                    dispatch.request,
+                    entry.name,
+                    now,
+                    message=decision.reason,
+                    is_database_usable=True,
+                )
+            if decision.usage is Usage.NOTHING:
+                emissions += self._pool.close_connections(entry.name)
+        return emissions
+
     def _emit_lease_change(self, now: float) -> list[Emission]:
         has_primary_lease = self._databases.has_primary_lease(now)
         if has_primary_lease == self._has_primary_lease:
@@ -190,7 +216,12 @@
         self, pending: _PendingStatement, pinned: Connection, now: float
     ) -> list[Emission]:
         request = pending.request
-        primary = self._databases.find_primary(request.route.group, now)
+        entry = self._databases.find_entry(pinned.database, now)
+        decision = None if entry is None else self._databases.decide_usage(entry, now)
+        if decision is not None and decision.usage is Usage.NOTHING:
+            refusal = self._refuse(pending, ErrorCode.ABORTED, decision.reason)
+            return [*self._pool.close_connections(pinned.database), *refusal]
+        primary = self._databases.find_leased_primary(request.route.group, now)
         pending.is_on_primary = primary is not None and primary.name == pinned.database
         is_commit = request.step is TransactionStep.COMMIT
         if is_commit and not request.is_read_only and not pending.is_on_primary:
@@ -465,7 +496,7 @@
         is_final = request.step in (TransactionStep.NONE, TransactionStep.COMMIT)
         if request.is_read_only or not is_final:
             return False
-        primary = self._databases.find_primary(request.route.group, now)
+        primary = self._databases.find_leased_primary(request.route.group, now)
         return primary is None or primary.name != database
 
     # Results
