Move primaries out of an evacuation without losing entries

Change: an evacuated primary is kept until a candidate has received everything; after a crash the replica that received most leads until another one has caught up. The seeded model evacuates data centres and finds the removed guard.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -24,6 +24,7 @@
     QueryDatabaseStatus,
 )
 from .failure_detection import (
+    EVACUATED,
     PLANNED_REASONS,
     UNREACHABLE,
     UNREACHABLE_SECONDS,
@@ -255,15 +256,15 @@
         return [Emission("proposals", GroupProposal(group, record))]
 
     def _has_candidate(self, record: GroupRecord) -> bool:
-        return any(self._list_candidates(record.group, record.primary))
+        """Return whether a database could serve as the new primary."""
+        candidates = self._list_candidates(record.group, record.primary)
+        return any(not self._directory.is_evacuated(item) for item in candidates)
 
     def _list_candidates(self, group: str, primary: str) -> list[DatabaseEntry]:
         return [
             item
             for item in self._directory.list_group(group)
-            if item.name != primary
-            and not item.is_leaving
-            and not self._directory.is_evacuated(item)
+            if item.name != primary and not item.is_leaving
         ]
 
     def _probe(self, database: str, state: _GroupState, now: float) -> list[Emission]:
@@ -423,15 +424,28 @@
             # Also the last candidate is evacuated or leaves. The primary still serves.
             return self._keep_primary(name, failover, "there is no candidate", now)
         names = {item.name for item in candidates}
+        evacuated = {
+            item.name for item in candidates if self._directory.is_evacuated(item)
+        }
+        if failover.is_planned and self._is_old_primary_alive(failover):
+            # The others receive from it what they lack.
+            names -= evacuated
         best = choose_candidate(
-            item for item in failover.statuses.values() if item.database in names
+            (item for item in failover.statuses.values() if item.database in names),
+            evacuated,
         )
         is_complete = all(item.name in failover.statuses for item in candidates)
         if best is not None and (is_complete or waited > MAX_STATUS_WAIT_SECONDS):
             is_behind = self._is_missing_entries(failover, best) or is_behind_record(
                 best, failover.record
             )
-            if not is_behind or waited > MAX_CATCH_UP_SECONDS:
+            if not is_behind:
+                return self._promote(name, failover, best.database, now)
+            if waited > MAX_CATCH_UP_SECONDS:
+                if failover.reason == EVACUATED and not failover.may_have_promoted:
+                    # It is healthy, and a promotion would lose what it acknowledged.
+                    reason = "no candidate has received all entries"
+                    return self._keep_primary(name, failover, reason, now)
                 return self._promote(name, failover, best.database, now)
         if now < failover.due_at:
             return []
@@ -475,10 +489,15 @@
         old = failover.statuses.get(failover.record.primary)
         return (
             failover.is_planned
-            and (old is None or old.is_alive)
+            and self._is_old_primary_alive(failover)
             and (old is None or old.received > best.received)
         )
 
+    def _is_old_primary_alive(self, failover: _Failover) -> bool:
+        """Return whether the old primary has answered or not been asked yet."""
+        old = failover.statuses.get(failover.record.primary)
+        return old is None or old.is_alive
+
     def _promote(
         self, name: str, failover: _Failover, target: str, now: float
     ) -> list[Emission]:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -12,6 +12,7 @@
 from sardinemill.fleet.views import DirectoryChanged, PositionSeen
 from sardinemill.overview import read_overview
 from sardinemill.platform.store_documents import decode_evacuations
+from sardinemill.positions import LogPosition
 from sardinemill.presentation import format_overview
 from sardinemill.sessions.connection_messages import (
     CloseConnection,
@@ -235,14 +236,45 @@
     assert (harness.group.primary, harness.group.phase) == ("r2", GroupPhase.STEADY)
 
 
-def test_databases_of_evacuated_data_centres_are_not_promoted():
+def test_database_of_an_evacuated_data_centre_is_not_promoted():
     """Guards against a new primary that may get nothing."""
     harness = make_harness()
+    harness.statuses["r1"] = replace(harness.statuses["r2"], database="r1")
     harness.failover.handle(make_evacuated("z"), harness.now)
     harness.run(6.0, failing=["p"])
     assert [command.database for _, command in harness.promotions] == ["r1"]
 
 
+def test_evacuated_replica_that_received_most_leads_until_another_has_caught_up():
+    """Guards against the loss of acknowledged writes of a primary that crashed, which
+    only a replica in an evacuated data centre has received.
+    """
+    harness = make_harness()
+    harness.failover.handle(make_evacuated("z"), harness.now)
+    harness.run(4.0, failing=["p"])
+    assert harness.group.primary == "r2"
+    harness.statuses["r1"] = replace(
+        harness.statuses["r2"], database="r1", is_primary=False
+    )
+    harness.run(4.0)
+    assert harness.group.primary == "r1"
+    assert [command.database for _, command in harness.promotions] == ["r2", "r1"]
+
+
+def test_evacuated_primary_is_kept_while_no_candidate_has_received_all_entries():
+    """Guards against the loss of acknowledged writes for a move that can wait; what
+    only the primary can run is refused meanwhile.
+    """
+    harness = make_harness()
+    harness.statuses["p"] = replace(
+        harness.statuses["r2"], database="p", received=LogPosition(3, 20)
+    )
+    harness.failover.handle(make_evacuated("x"), harness.now)
+    harness.run(6.0, alive=["p", "r1", "r2"])
+    assert harness.promotions == []
+    assert harness.group.primary == "p"
+
+
 def test_superseded_primary_is_demoted_after_the_evacuation():
     """Guards against an order to a database that must get nothing, and against a
     superseded primary that is forgotten.
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -9,7 +9,9 @@
   is acknowledged by a replaced primary;
 * fencing tokens of promotion requests never decrease, and none has two holders;
 * no database that has not followed the recorded primary is promoted while one that has
-  answers, and the database that leads is not demoted.
+  answers, and the database that leads is not demoted;
+* no database of an evacuated data centre is promoted while one elsewhere answers that
+  has received as much.
 
 A replaced primary reports its role, with its old term and more entries than the others,
 until it is demoted or has reached the new one for a second.
@@ -40,7 +42,7 @@
     QueryDatabaseStatus,
 )
 from sardinemill.fleet.primary_lease import PRIMARY_LEASE_SECONDS
-from sardinemill.fleet.records import FleetRecord, GroupPhase
+from sardinemill.fleet.records import Directory, FleetRecord, GroupPhase
 from sardinemill.fleet.state import FleetState
 from sardinemill.fleet.store_messages import (
     ReadRecord,
@@ -53,6 +55,7 @@
 from sardinemill.fleet.views import (
     CoordinatorRoleChanged,
     DatabaseContact,
+    DirectoryChanged,
     FailoversInProgress,
     GroupProposal,
     Identity,
@@ -61,7 +64,7 @@
 from sardinemill.groups import Address
 from sardinemill.positions import LogPosition
 from sardinemill.sessions.messages import DrainStarted
-from session_builders import DATABASES, make_directory
+from session_builders import DATABASES
 
 STEP_SECONDS = 0.1
 PROMOTE_SECONDS = 0.3
@@ -84,6 +87,7 @@
     "zone": 8,
     "island": 6,
     "leave": 6,
+    "evacuate": 5,
 }
 # Probability in a step that the successor of a superseded primary crashes.
 SUCCESSOR_CRASH_PROBABILITY = 0.03
@@ -137,6 +141,8 @@
         self.database_cut = {}
         self.reached_since = {}
         self.n_superseded = 0
+        self.evacuated_until = {}
+        self.n_evacuated_primaries = 0
         for number in range(n_instances):
             self.start(f"n{number}")
 
@@ -161,6 +167,7 @@
         for _ in range(n_steps):
             self.now += STEP_SECONDS
             self.inject()
+            self.end_evacuations()
             self.apply_late_writes()
             self.finish_promotion()
             self.follow_leader()
@@ -205,6 +212,13 @@
             self.start(name)
         elif kind == "leave":
             self.leave(name)
+        elif kind == "evacuate":
+            data_centre = self.random.choice([item.data_centre for item in DATABASES])
+            self.evacuated_until[data_centre] = until
+            self.n_evacuated_primaries += data_centre == self.find_data_centre(
+                self.leader
+            )
+            self.announce_directory()
         elif kind == "island":
             # All instances but one lose the store, and that one loses all others.
             self.peer_cut[name] = self.primary_cut[name] = until + 8.0
@@ -225,6 +239,25 @@
             for other in self.nodes:
                 self.store_cut[other] = until
 
+    def end_evacuations(self):
+        """Take back the evacuations whose time has passed."""
+        ended = [
+            name for name, until in self.evacuated_until.items() if until <= self.now
+        ]
+        for name in ended:
+            del self.evacuated_until[name]
+        if ended:
+            self.announce_directory()
+
+    def find_data_centre(self, database):
+        """Return the data centre of a database."""
+        return next(item.data_centre for item in DATABASES if item.name == database)
+
+    def announce_directory(self):
+        """Tell all instances of the databases and evacuations."""
+        for name, node in self.nodes.items():
+            self.process(name, node.failover.handle(self.make_directory(), self.now))
+
     def leave(self, name):
         """Stop an instance gracefully; another one starts at its address later."""
         node = self.nodes[name]
@@ -348,14 +381,17 @@
         if is_primary == (database in self.claims):
             return
         self.claims ^= {database}
-        for name, node in self.nodes.items():
-            self.process(name, node.failover.handle(self.make_directory(), self.now))
+        self.announce_directory()
 
     def make_directory(self):
         """Return the list of databases with the roles that they report."""
-        return make_directory(
+        databases = tuple(
             replace(item, is_primary=item.name in self.claims) for item in DATABASES
         )
+        evacuated = tuple(sorted(self.evacuated_until))
+        return DirectoryChanged(
+            Directory(databases=databases, evacuated_data_centres=evacuated)
+        )
 
     def follow_leader(self):
         """Let databases that reach the leader follow it."""
@@ -386,6 +422,7 @@
             raise InvariantViolation("two holders with one fencing token")
         self.fences.append((command.fence, command.holder))
         self.check_choice(name, command.database)
+        self.check_evacuations(name, command.database)
         handle = self.nodes[name].failover.handle
         if self.is_active(self.crashed, command.database):
             self.process(name, handle(PromotionResult(command, False), self.now))
@@ -407,6 +444,21 @@
             ):
                 raise InvariantViolation(f"{chosen} is promoted over {database}")
 
+    def check_evacuations(self, name, chosen):
+        """Raise if an evacuated database is promoted without a reason."""
+        if self.find_data_centre(chosen) not in self.evacuated_until:
+            return
+        group = self.record.find_group("g")
+        for database, term in self.terms.items():
+            if (
+                database != group.primary
+                and self.find_data_centre(database) not in self.evacuated_until
+                and (term, self.positions[database])
+                >= (self.terms[chosen], self.positions[chosen])
+                and self.is_reachable(name, database, ANSWER_SECONDS)
+            ):
+                raise InvariantViolation(f"{chosen} is evacuated, {database} is not")
+
     def finish_promotion(self):
         """Let a requested promotion take effect."""
         if self.pending_promotion is not None and self.now >= self.pending_promotion[0]:
@@ -455,6 +507,7 @@
         world.run()
     assert sum(world.term - 1 for world in worlds) >= N_SEEDS
     assert sum(world.n_superseded for world in worlds) >= N_SEEDS / 2
+    assert sum(world.n_evacuated_primaries for world in worlds) >= N_SEEDS / 2
 
 
 def finds_violation(n_seeds=200):
@@ -479,7 +532,7 @@
     return DemoteDatabase(database, term + 1000)
 
 
-def choose_by_role(statuses):
+def choose_by_role(statuses, evacuated=()):
     """Choose the candidate that reports to be primary, whatever its term."""
     return max(
         (item for item in statuses if item.is_alive),
@@ -489,7 +542,8 @@
 
 
 @pytest.mark.parametrize(
-    "guard", ["wait", "deadline", "words", "awareness", "term", "recorded term"]
+    "guard",
+    ["wait", "deadline", "words", "awareness", "term", "recorded term", "evacuation"],
 )
 def test_model_detects_a_removed_safeguard(guard, monkeypatch):
     """Guards against a simulation that does not detect missing safeguards."""
@@ -497,6 +551,8 @@
         monkeypatch.setattr(failover, "choose_candidate", choose_by_role)
     elif guard == "recorded term":
         monkeypatch.setattr(demotions, "DemoteDatabase", demote_any_term)
+    elif guard == "evacuation":
+        monkeypatch.setattr(Directory, "is_evacuated", lambda *_: False)
     elif guard == "wait":
         monkeypatch.setattr(failover, "PRIMARY_LEASE_SECONDS", -0.3)
     elif guard == "deadline":
