Bound what clients can make an instance hold

Cause: the streams of clients read 256 KiB at once and buffered up to 2 MiB each, every session kept three copies of its request until the answer came, answers, session variables and prepared statements had no common bound, and neither had sessions and connections to databases.

Change: large messages need one of a few permits, derived from the memory of the machine; connections are read in pieces of 8 KiB and paused; answers that clients do not take, session state, sessions and connections have bounds, and at each the sessions that hold most and give least give way.

The test of pipelined requests collects answers in pieces: reading to the end of the stream dropped those before a reset.

--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -82,6 +82,11 @@
     REQUEST_CUT_OFF = EventKind(
         237, "info", "A client's connection ended before the answer to its request."
     )
+    CLIENT_CLOSED = EventKind(
+        238,
+        "warning",
+        "A client's connection was closed at a limit; the fields show what was held.",
+    )
     SESSION_REFUSED = EventKind(233, "info", "A session was not opened.")
     LINES_DROPPED = EventKind(
         234,
--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -1,73 +1,117 @@
-"""Listener for clients; one task per connection owns its socket."""
+"""Listener for clients: accepts connections within the limits of the instance."""
 
 import asyncio
-import contextlib
 import itertools
-from collections.abc import Iterable
-from typing import SupportsIndex, cast
+import socket
 
 from ..errors import CodecError
+from ..events import Event, EventName
 from ..groups import Address
 from ..interfaces import Clock, Outlet
+from ..sessions.client_limits import (
+    DEFAULT_CLIENT_LIMITS,
+    ClientLimits,
+    LargeMessagePermits,
+    SessionPhase,
+    SessionStatus,
+    UnsentAnswer,
+    choose_session_to_close,
+    choose_unsent_answers,
+)
 from ..sessions.messages import (
     SessionAccepted,
     SessionClosed,
-    SessionOpened,
     SessionRefused,
-    SessionState,
     StatementAnswered,
-    StatementReceived,
-)
-from .sockets import set_keep_alive
-from .wire import (
-    MAX_LINE_BYTES,
-    STATE_LETTERS,
-    WIRE_ERROR_CODES,
-    parse_statement,
-    read_line,
 )
+from .client_connection import READ_BYTES, ClientConnection
+from .client_session import ClientSession
 
-# A client that connects and does not send START in this time is disconnected.
-START_TIMEOUT_SECONDS = 5.0
 BACKLOG = 512
+# Connections accepted before the limit of sessions is checked again.
+ACCEPT_BATCH = 16
+CHECK_INTERVAL_SECONDS = 0.5
+# Time for the last answers of a session that has ended.
+CLOSE_TIMEOUT_SECONDS = 30.0
 
 
 class ClientListener:
     """Accepts client connections, emits their statements and sends the answers.
 
+    It owns what its sessions share: the permits for large messages and the account of
+    unsent answers. At a limit it closes the sessions that hold most and give least.
+
     :param sink: receives :class:`SessionOpened`, :class:`StatementReceived` and
         :class:`SessionClosed`.
+    :param events: receives log events; ``None`` disables them.
     """
 
-    def __init__(self, address: Address, sink: Outlet, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        sink: Outlet,
+        clock: Clock,
+        *,
+        limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
+        events: Outlet | None = None,
+    ) -> None:
         self._address = address
         self._sink = sink
         self._clock = clock
+        self._limits = limits
+        self._events = events
         self._session_ids = itertools.count(1)
-        self._sessions: dict[int, _SessionTask] = {}
+        self._sessions: dict[int, ClientSession] = {}
+        self._phases: dict[int, tuple[SessionPhase, float]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._permits = LargeMessagePermits(limits.n_large_messages)
+        self._permit_waiters: dict[int, asyncio.Future[None]] = {}
+        self._unsent: dict[int, UnsentAnswer] = {}
+        self._chunk = bytearray(READ_BYTES)
         self._is_ending = False
         self._server: asyncio.Server | None = None
+        self._checks: asyncio.Task[None] | None = None
 
     @property
     def n_sessions(self) -> int:
         """Number of open sessions."""
         return len(self._sessions)
 
+    @property
+    def address(self) -> Address:
+        """Address it listens on; with port 0 the kernel has chosen the port."""
+        if self._server is None:
+            return self._address
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
     async def start(self) -> None:
         """Listen for clients."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_protocol,
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG,
-        )
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((self._address.host, self._address.port))
+            # The event loop accepts as many connections at once as the backlog it is
+            # given. That would exceed the limit before it is checked.
+            self._server = await loop.create_server(
+                lambda: ClientConnection(self._chunk, self._serve),
+                sock=listener,
+                backlog=ACCEPT_BATCH,
+            )
+        except BaseException:
+            listener.close()
+            raise
+        listener.listen(BACKLOG)
+        self._checks = asyncio.create_task(self._check_limits())
 
     async def drain(self) -> None:
         """Do nothing: the owner ends the sessions."""
 
     async def stop(self) -> None:
         """Close the listener and all sessions; report those that await an answer."""
+        if self._checks is not None:
+            self._checks.cancel()
         if self._server is not None:
             self._server.close()
         for session_id, session in list(self._sessions.items()):
@@ -118,190 +162,144 @@
             for item in self._sessions.values()
         )
 
-    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
-        reader = _RequestReader(limit=MAX_LINE_BYTES)
-
-        async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._serve(reader, writer)
-
-        return asyncio.StreamReaderProtocol(reader, serve)
+    # Sessions
 
-    async def _serve(
-        self, reader: "_RequestReader", writer: asyncio.StreamWriter
-    ) -> None:
+    def _serve(self, connection: ClientConnection) -> None:
+        """Start the task of a new connection, or close it if there is no room."""
+        if len(self._sessions) >= self._limits.n_sessions and not self._make_room():
+            self._log_closed(None, "too many sessions")
+            connection.abort()
+            return
         session_id = next(self._session_ids)
-        session = _SessionTask(session_id, reader, writer, self._sink)
+        session = ClientSession(session_id, connection, self._sink, self)
         self._sessions[session_id] = session
+        self.record_phase(session)
         if self._is_ending:
             session.end()
+        task = asyncio.create_task(self._run(session, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, session: ClientSession, connection: ClientConnection) -> None:
+        session_id = session.session_id
         try:
-            set_keep_alive(writer.get_extra_info("socket"))
             await session.run()
         except (OSError, CodecError, TimeoutError):
-            # The client has disconnected, did not send START in time, or sent a message
+            # The client has disconnected, did not send a message in time, or sent one
             # that cannot be parsed.
             pass
         finally:
             self._sink.offer(SessionClosed(session_id))
-            writer.close()
+            self.release_permit(session)
+            connection.close()
             try:
-                with contextlib.suppress(OSError):
-                    await writer.wait_closed()
+                async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
+                    await connection.wait_closed()
+            except TimeoutError:
+                connection.abort()
             finally:
-                del self._sessions[session_id]
-
-
-def _is_word(text: str) -> bool:
-    """Return whether a text is one word for every reader of a line."""
-    return text.isprintable() and bool(text)
-
-
-class _RequestReader(asyncio.StreamReader):
-    """Stream that can be ended while its connection is open."""
+                self._remove(session_id)
 
-    _has_ended = False
+    def _remove(self, session_id: int) -> None:
+        self._sessions.pop(session_id, None)
+        self._phases.pop(session_id, None)
+        self._unsent.pop(session_id, None)
 
-    def end(self) -> None:
-        """End the stream after what has been received; ignore what follows."""
-        self._has_ended = True
-        self.feed_eof()
+    def _make_room(self) -> bool:
+        """Close the session that gives way to a new one; return whether there is one.
 
-    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        """Add received bytes.
-
-        A reader whose buffer was full lets the transport receive again when it has
-        room, also after the end of the stream.
+        It no longer counts, although its task ends a moment later.
         """
-        if not self._has_ended:
-            super().feed_data(data)
-
-
-class _SessionTask:
-    """Task that owns one client connection and serves one request at a time."""
-
-    def __init__(
-        self,
-        session_id: int,
-        reader: _RequestReader,
-        writer: asyncio.StreamWriter,
-        sink: Outlet,
-    ) -> None:
-        self._session_id = session_id
-        self._reader = reader
-        self._writer = writer
-        self._sink = sink
-        self._answers: asyncio.Queue[
-            SessionAccepted | SessionRefused | StatementAnswered
-        ] = asyncio.Queue()
-        self._state = SessionState.IDLE
-        self._is_request_pending = True
-        self._is_ending = False
-        self._ends_in_transaction = False
-
-    @property
-    def is_request_pending(self) -> bool:
-        """Whether a request, or the opening of the session, is unanswered."""
-        return self._is_request_pending
-
-    @property
-    def has_unsent_answer(self) -> bool:
-        """Whether a part of an answer waits for the client to receive."""
-        return self._writer.transport.get_write_buffer_size() > 0
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether the session has no unanswered request and no open transaction."""
-        return not self._is_request_pending and self._state is SessionState.IDLE
-
-    def close(self) -> None:
-        """Close the connection once the buffered answers are sent."""
-        self._writer.close()
-
-    def stop_reading(self) -> None:
-        """Receive nothing more; the task answers what has arrived and then closes.
-
-        Closing the connection here would cut off a request that has been received and
-        that the task has not handled yet.
-        """
-        cast(asyncio.Transport, self._writer.transport).pause_reading()
-        self._reader.end()
-
-    def end(self, *, with_transactions: bool = False) -> None:
-        """Close the connection as soon as it is idle.
-
-        :param with_transactions: a session without an unanswered request counts as
-            idle, also in a transaction.
-        """
-        self._is_ending = True
-        self._ends_in_transaction = with_transactions
-        if self._must_end():
-            self.stop_reading()
-
-    def _must_end(self) -> bool:
-        if not self._is_ending or self._is_request_pending:
+        chosen = choose_session_to_close(
+            SessionStatus(
+                session_id=session_id,
+                key=session.key,
+                phase=session.phase,
+                since=self._find_phase_start(session),
+            )
+            for session_id, session in self._sessions.items()
+        )
+        if chosen is None:
             return False
-        return self._ends_in_transaction or self._state is SessionState.IDLE
+        self._close(chosen, "another session needs its place")
+        return True
 
-    def answer(
-        self, message: SessionAccepted | SessionRefused | StatementAnswered
-    ) -> None:
-        """Queue the answer to the request in progress."""
-        self._answers.put_nowait(message)
-
-    async def run(self) -> None:
-        """Serve the session until either side closes it."""
-        peer = f"session {self._session_id}"
-        async with asyncio.timeout(START_TIMEOUT_SECONDS):
-            line = await read_line(self._reader, peer)
-        if line is None or line.kind != "START" or not line.payload:
-            self._write("ERROR MALFORMED expected START")
+    def _find_phase_start(self, session: ClientSession) -> float:
+        known = self._phases.get(session.session_id)
+        now = self._clock.now()
+        if known is None or known[0] is not session.phase:
+            # A message that has begun to arrive is not reported.
+            self._phases[session.session_id] = (session.phase, now)
+            return now
+        return known[1]
+
+    def _close(self, session_id: int, reason: str) -> None:
+        session = self._sessions.pop(session_id, None)
+        if session is not None:
+            self._log_closed(session, reason)
+            session.abort()
+
+    def _log_closed(self, session: ClientSession | None, reason: str) -> None:
+        if self._events is None:
+            return
+        fields = {
+            "session": None if session is None else session.session_id,
+            "phase": None if session is None else session.phase.name.lower(),
+            "reason": reason,
+            "n_sessions": len(self._sessions),
+            "n_large_messages": self._permits.n_held,
+            "unsent_bytes": sum(item.n_bytes for item in self._unsent.values()),
+        }
+        self._events.offer(Event(EventName.CLIENT_CLOSED, fields))
+
+    # Limits that sessions share
+
+    def record_phase(self, session: ClientSession) -> None:
+        """Record that a session has changed its phase."""
+        self._phases[session.session_id] = (session.phase, self._clock.now())
+
+    async def request_permit(self, session: ClientSession) -> None:
+        """Wait for the permit to receive and execute a large message."""
+        session_id = session.session_id
+        if self._permits.request(session_id, session.key, self._clock.now()):
             return
-        # The API key is the rest of the line; it may be empty for routes that need no
-        # authentication.
-        database, _, key = line.payload.partition(" ")
-        self._sink.offer(SessionOpened(self._session_id, database, key))
-        outcome = await self._answers.get()
-        if isinstance(outcome, SessionRefused):
-            self._write(f"ERROR {WIRE_ERROR_CODES[outcome.code]} {outcome.message}")
-            await self._writer.drain()
+        waiter = asyncio.get_running_loop().create_future()
+        self._permit_waiters[session_id] = waiter
+        try:
+            await waiter
+        finally:
+            del self._permit_waiters[session_id]
+
+    def record_received(self, session: ClientSession) -> None:
+        """Record that a message is complete."""
+        self._permits.record_received(session.session_id)
+
+    def release_permit(self, session: ClientSession) -> None:
+        """Give up the permit of a session and pass it on."""
+        for session_id in self._permits.release(session.session_id, self._clock.now()):
+            waiter = self._permit_waiters.get(session_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    def record_unsent(self, session: ClientSession, n_bytes: int) -> None:
+        """Record how much of a session's answers its client has not taken."""
+        if not n_bytes:
+            self._unsent.pop(session.session_id, None)
             return
-        self._write("READY I -")
-        await self._serve(peer)
+        self._unsent[session.session_id] = UnsentAnswer(n_bytes, self._clock.now())
+        self._close_unsent()
+
+    def _close_unsent(self) -> None:
+        limit = self._limits.answer_bytes
+        for session_id in choose_unsent_answers(self._unsent, limit, self._clock.now()):
+            self._close(session_id, "its client does not take answers")
+            self._unsent.pop(session_id, None)
 
-    async def _serve(self, peer: str) -> None:
+    async def _check_limits(self) -> None:
+        """Close sessions whose message or answer takes too long."""
         while True:
-            self._is_request_pending = False
-            if self._must_end():
-                self.stop_reading()
-            line = await read_line(self._reader, peer)
-            if line is None or line.kind == "BYE":
-                return
-            self._is_request_pending = True
-            if line.kind != "QUERY":
-                self._write("ERROR MALFORMED expected QUERY")
-                return
-            statement_id, _, text = line.payload.partition(" ")
-            if not _is_word(statement_id):
-                self._write("ERROR MALFORMED the identifier is not one word")
-                return
-            received = StatementReceived(
-                self._session_id, statement_id, parse_statement(text)
-            )
-            self._sink.offer(received)
-            answer = await self._answers.get()
-            if isinstance(answer, StatementAnswered):
-                self._send(answer)
-                await self._writer.drain()
-
-    def _send(self, answer: StatementAnswered) -> None:
-        self._state = answer.state
-        if answer.code is None:
-            lines = [f"ROW {row}" for row in answer.rows]
-            lines.append(f"DONE {answer.signature or '-'}")
-        else:
-            lines = [f"ERROR {WIRE_ERROR_CODES[answer.code]} {answer.message}"]
-        lines.append(f"READY {STATE_LETTERS[answer.state]} -")
-        self._write("\r\n".join(lines))
-
-    def _write(self, text: str) -> None:
-        self._writer.write(text.encode() + b"\r\n")
+            await self._clock.sleep(CHECK_INTERVAL_SECONDS)
+            for session_id in self._permits.list_overdue(self._clock.now()):
+                reason = "a large message took too long or found no room"
+                self._close(session_id, reason)
+            self._close_unsent()
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -78,7 +78,11 @@
                 events=events,
             ),
             make_listener=lambda sink: ClientListener(
-                settings.front_address, sink, clock
+                settings.front_address,
+                sink,
+                clock,
+                limits=settings.client_limits,
+                events=events,
             ),
             make_upstreams=lambda sink, control: UpstreamManager(sink, control, clock),
             make_promotion_calls=lambda sink: PromotionClient(
@@ -89,6 +93,7 @@
         ),
         stop_seconds=settings.stop_seconds,
         tolerance=settings.rate_tolerance,
+        client_limits=settings.client_limits,
         evacuation_grace_seconds=compute_evacuation_grace(settings.evacuation_seconds),
     )
     return instance
--- a/src/sardinemill/platform/settings.py
+++ b/src/sardinemill/platform/settings.py
@@ -10,6 +10,14 @@
 from ..errors import SettingsError
 from ..fleet.rate_tolerance import DEFAULT_TOLERANCE, RateTolerance
 from ..groups import Address
+from ..sessions.client_limits import (
+    DEFAULT_CLIENT_LIMITS,
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MEGABYTE,
+    ClientLimits,
+    compute_client_limits,
+)
 
 SETTINGS_PATH_VARIABLE = "SARDINEMILL_BOOT"
 # Address at which other instances reach this one, if not the one it listens on.
@@ -37,6 +45,8 @@
     "bounds.evacuation_ms": "0",
     "limits.cpu_share": "1",
     "limits.cores": "1",
+    "limits.memory_mb": str(DEFAULT_MEMORY_BYTES // MEGABYTE),
+    "limits.file_descriptors": str(DEFAULT_DESCRIPTORS),
 }
 # ``str.isdigit`` accepts digits that ``int`` refuses, and ``int`` any number of them.
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -60,6 +70,7 @@
     :param leave_seconds: time within which a draining database must stop receiving
         new work.
     :param rate_tolerance: how far operations may exceed the plan of a workspace.
+    :param client_limits: of what clients may make the instance hold.
     :param evacuation_seconds: time after which nothing may reach the databases of an
         evacuated data centre, 0 if there are no evacuations.
     :param gateway_capacity: processor capacity in tenths of a core, at least 1.
@@ -79,6 +90,7 @@
     rate_tolerance: RateTolerance = DEFAULT_TOLERANCE
     gateway_capacity: int = 10
     evacuation_seconds: float = 0.0
+    client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS
 
 
 def read_platform_settings(environment: Mapping[str, str]) -> PlatformSettings:
@@ -137,6 +149,15 @@
             numbers[name] = float(fields.get(name) or default)
         except ValueError:
             errors.append(f"{name}={fields[name]}: not a number")
+    client_limits = DEFAULT_CLIENT_LIMITS
+    if numbers.keys() >= {"limits.memory_mb", "limits.file_descriptors"}:
+        try:
+            client_limits = compute_client_limits(
+                int(numbers["limits.memory_mb"] * MEGABYTE),
+                int(numbers["limits.file_descriptors"]),
+            )
+        except (ValueError, OverflowError) as error:
+            errors.append(f"limits.memory_mb, limits.file_descriptors: {error}")
     if errors:
         raise SettingsError("\n".join(errors), step="settings")
     host = fields["ip"]
@@ -159,6 +180,7 @@
             fraction=numbers["bounds.quota_overshoot"],
             n_operations=numbers["bounds.quota_slack"],
         ),
+        client_limits=client_limits,
         evacuation_seconds=numbers["bounds.evacuation_ms"] / 1000,
         gateway_capacity=max(1, round(n_cores / CAPACITY_UNIT_CORES)),
     )
--- a/src/sardinemill/platform/wire.py
+++ b/src/sardinemill/platform/wire.py
@@ -17,6 +17,7 @@
 
 # Limit of the protocol for every message, with its line end.
 MAX_LINE_BYTES = 1024 * 1024
+LINE_END = b"\r\n"
 # Larger numbers could not be encoded for other instances.
 MAX_NUMBER_DIGITS = 18
 
@@ -83,15 +84,24 @@
     :raises CodecError: when the line is too long or not valid UTF-8.
     """
     try:
-        data = await reader.readuntil(b"\r\n")
+        data = await reader.readuntil(LINE_END)
     except asyncio.IncompleteReadError:
         return None
     except asyncio.LimitOverrunError as error:
         raise CodecError("message too long", step="read line", peer=peer) from error
     if len(data) > MAX_LINE_BYTES:
         raise CodecError("message too long", step="read line", peer=peer)
+    return parse_line(data[: -len(LINE_END)], peer)
+
+
+def parse_line(data: bytes, peer: str = "client") -> Line:
+    """Parse one message without its line end.
+
+    :param peer: name of the sender, for error messages.
+    :raises CodecError: when it is not valid UTF-8.
+    """
     try:
-        text = data[:-2].decode()
+        text = data.decode()
     except UnicodeDecodeError as error:
         raise CodecError(
             "message is not valid UTF-8", step="read line", peer=peer
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -23,6 +23,7 @@
 from .outlets import EnvelopeRouter, FanOut
 from .pipeline import Stage
 from .sessions.admission import Admission
+from .sessions.client_limits import DEFAULT_CLIENT_LIMITS, ClientLimits
 from .sessions.gateway import Gateway
 from .sessions.gateway_messages import (
     ForwardedStatementsInProgress,
@@ -308,6 +309,7 @@
     :param tolerance: of the rate limits.
     :param evacuation_grace_seconds: time for open transactions after the instance has
         learned that a data centre is evacuated.
+    :param client_limits: of what clients may make the instance hold.
     """
 
     def __init__(
@@ -318,6 +320,7 @@
         stop_seconds: float,
         tolerance: RateTolerance = DEFAULT_TOLERANCE,
         evacuation_grace_seconds: float = 0.0,
+        client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
     ) -> None:
         self._clock = adapters.clock
         self._events = adapters.events
@@ -326,16 +329,27 @@
         lending = self._make_stage(
             "token lender", TokenLender(identity.name, tolerance)
         )
-        session_manager = self._make_stage("session manager", SessionManager())
+        session_manager = self._make_stage(
+            "session manager", SessionManager(client_limits.state_bytes)
+        )
         admission = self._make_stage("admission", Admission(identity.name, tolerance))
         placement = self._make_stage(
             "placement",
             Placement(
-                identity.data_centre, identity.name, identity, evacuation_grace_seconds
+                identity.data_centre,
+                identity.name,
+                identity,
+                evacuation_grace_seconds,
+                client_limits.n_database_connections,
             ),
         )
         gateway = self._make_stage(
-            "gateway", Gateway(identity.data_centre, evacuation_grace_seconds)
+            "gateway",
+            Gateway(
+                identity.data_centre,
+                evacuation_grace_seconds,
+                client_limits.n_gateway_connections,
+            ),
         )
         self.readiness = Readiness()
         observer = adapters.observer
--- a/src/sardinemill/sessions/connection_pool.py
+++ b/src/sardinemill/sessions/connection_pool.py
@@ -23,6 +23,7 @@
 )
 from .connections import (
     DEFAULT_CONNECTION_QUOTA,
+    MAX_IDLE_STATE_BYTES,
     OVER_QUOTA_LIMIT,
     Connection,
     PoolState,
@@ -44,6 +45,8 @@
     :param share: fraction of a database's connections that may stay open while idle.
     :param statements_per_slot: bound of the statements that run at a database at the
         same time; by default none.
+    :param n_connections: bound of the connections to all databases together; by default
+        none.
     :ivar max_connections: connection limit of each database, by group.
     """
 
@@ -52,7 +55,9 @@
         databases: DatabaseView,
         share: float,
         statements_per_slot: float = math.inf,
+        n_connections: float = math.inf,
     ) -> None:
+        self.n_connections = n_connections
         self._databases = databases
         self._statements_per_slot = statements_per_slot
         self.share = share
@@ -170,6 +175,12 @@
         if now < self._full_until.get(database, NEVER):
             return []
         emissions: list[Emission] = []
+        if self._state.n_connections >= self._limits.n_connections:
+            idle = self._state.find_evictable()
+            if idle is None:
+                self._full_until[database] = now + FULL_RETRY_SECONDS
+                return []
+            emissions.append(self._close(idle))
         n_open = len(self._state.list_connections(database))
         entry = self._limits.find_entry(database, now)
         if entry is None:
@@ -203,6 +214,9 @@
         connection.session_id = None
         connection.is_rollback_pending = False
         connection.last_used_at = now
+        if connection.state_bytes > MAX_IDLE_STATE_BYTES:
+            close = self._close(connection)
+            return [close, *self.assign(connection.database, now)]
         return self.assign(connection.database, now)
 
     # Timers
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from .client_limits import estimate_text_bytes
 from .messages import (
     Dispatch,
     PreparedStatement,
@@ -30,6 +31,9 @@
 # Above its quota an instance closes idle connections sooner. The time covers the pause
 # between two statements of the same client.
 EXCESS_IDLE_TIMEOUT_SECONDS = 0.3
+# A connection whose variables and prepared statements take more is closed instead of
+# being kept for other sessions.
+MAX_IDLE_STATE_BYTES = 64 * 1024
 # A connection with more prepared statements is reset before its next use, unless a
 # transaction pins it.
 MAX_PREPARED_STATEMENTS = 200
@@ -77,6 +81,12 @@
         self.is_rolling_back = False
         self.is_rollback_pending = False
 
+    @property
+    def state_bytes(self) -> int:
+        """Upper bound of the memory of its variables and prepared statements."""
+        texts = [*self.session_variables.values(), *(p.shape for p in self.prepared)]
+        return estimate_text_bytes(*texts)
+
     @property
     def is_idle(self) -> bool:
         """Whether any session of its workspace may use the connection."""
@@ -176,12 +186,25 @@
         """Remove a connection and return it, ``None`` if it is unknown."""
         return self._connections.pop(connection_id, None)
 
-    def find_evictable(self, database: str, workspace: str) -> Connection | None:
-        """Return the least recently used idle connection of another workspace."""
+    @property
+    def n_connections(self) -> int:
+        """Number of connections, including those being opened."""
+        return len(self._connections)
+
+    def find_evictable(
+        self, database: str | None = None, workspace: str | None = None
+    ) -> Connection | None:
+        """Return the least recently used idle connection of another workspace.
+
+        :param database: ``None`` for all databases.
+        :param workspace: ``None`` for all workspaces.
+        """
         idle = [
             item
-            for item in self.list_connections(database)
-            if item.is_idle and item.workspace != workspace
+            for item in self._connections.values()
+            if item.is_idle
+            and item.workspace != workspace
+            and database in (None, item.database)
         ]
         return min(idle, key=lambda item: item.last_used_at, default=None)
 
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -83,14 +83,23 @@
     :param data_centre: of this instance.
     :param evacuation_grace_seconds: time for statements under way after this instance
         has learned of an evacuation.
+    :param n_connections: bound of the connections to all databases together.
     """
 
-    def __init__(self, data_centre: str, evacuation_grace_seconds: float = 0.0) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        evacuation_grace_seconds: float = 0.0,
+        n_connections: float = math.inf,
+    ) -> None:
         self._databases = DatabaseView(
             data_centre, evacuation_grace_seconds=evacuation_grace_seconds
         )
         self._limits = PoolLimits(
-            self._databases, GATEWAY_QUOTA_FRACTION, STATEMENTS_PER_SLOT
+            self._databases,
+            GATEWAY_QUOTA_FRACTION,
+            STATEMENTS_PER_SLOT,
+            n_connections,
         )
         self._pool = ConnectionPool(self._limits)
         self._work: dict[str, WorkEstimate] = {}
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -11,6 +11,11 @@
 from ..events import Event, EventName
 from ..interfaces import Emission
 from ..positions import ORIGIN, LogPosition
+from .client_limits import (
+    DEFAULT_CLIENT_LIMITS,
+    SessionStateBudget,
+    estimate_text_bytes,
+)
 from .messages import (
     DrainStarted,
     Effect,
@@ -38,6 +43,8 @@
 # Time for which a new session waits for the first configuration of this process. A
 # client gives up after 2 s without an answer.
 MAX_OPENING_SECONDS = 1.5
+# Memory of an entry besides its texts.
+ENTRY_BYTES = 200
 STOPPING_MESSAGE = "the instance is stopping; retry on another connection"
 # Workspace of clients without a known key, on routes that require none.
 ANONYMOUS_WORKSPACE = "-"
@@ -89,9 +96,12 @@
 
     Outlets: ``next`` (:class:`StatementRequest`), ``client`` (answers), ``abandoned``
     (:class:`TransactionAbandoned`), ``events``.
+
+    :param state_bytes: limit of the variables and prepared statements of all sessions.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, state_bytes: int = DEFAULT_CLIENT_LIMITS.state_bytes) -> None:
+        self._state_budget = SessionStateBudget(state_bytes)
         self._route_table = EMPTY_ROUTE_TABLE
         self._sessions: dict[int, _Session] = {}
         # Sessions that wait for the first configuration, with the end of the wait.
@@ -238,6 +248,7 @@
 
     def _close_session(self, session_id: int, now: float) -> list[Emission]:
         self._opening.pop(session_id, None)
+        self._state_budget.remove(session_id)
         session = self._sessions.pop(session_id, None)
         if session is None:
             return []
@@ -309,6 +320,10 @@
 
     def _change_session(self, session: _Session, statement: Statement) -> Emission:
         """Execute a statement that changes only session state."""
+        change_bytes = _estimate_state_change(session, statement)
+        if not self._state_budget.resize(session.session_id, change_bytes):
+            text = "the sessions of this instance hold too much state"
+            return _make_refusal(session, ErrorCode.TOO_LARGE, text)
         if statement.kind is StatementKind.SET:
             session.session_variables[statement.name] = statement.argument
         elif statement.kind is StatementKind.PREPARE:
@@ -556,6 +571,22 @@
     return ErrorCode.BUSY, "no database answered; retry after 0.1 s"
 
 
+def _estimate_state_change(session: _Session, statement: Statement) -> int:
+    """Return by how much a statement changes the memory of a session's state."""
+    name = statement.name
+    if statement.kind is StatementKind.SET:
+        old = session.session_variables.get(name)
+    elif statement.kind in (StatementKind.PREPARE, StatementKind.DEALLOCATE):
+        prepared = session.prepared.get(name)
+        old = None if prepared is None else prepared.shape
+    else:
+        return 0
+    change_bytes = 0 if old is None else -estimate_text_bytes(name, old) - ENTRY_BYTES
+    if statement.kind is not StatementKind.DEALLOCATE:
+        change_bytes += estimate_text_bytes(name, statement.argument) + ENTRY_BYTES
+    return change_bytes
+
+
 def _get_state(session: _Session) -> SessionState:
     if session.transaction is None:
         return SessionState.IDLE
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -1,5 +1,6 @@
 """Filter that assigns a database and a connection to each statement."""
 
+import math
 from collections.abc import Sequence
 
 from ..control import PeerEnvelope
@@ -93,6 +94,7 @@
     :param identity: of this instance, for gateways; without one it uses none.
     :param evacuation_grace_seconds: time for open transactions after this instance has
         learned of an evacuation.
+    :param n_connections: bound of the connections to all databases together.
     """
 
     def __init__(
@@ -101,9 +103,12 @@
         instance: str = "",
         identity: Identity | None = None,
         evacuation_grace_seconds: float = 0.0,
+        n_connections: float = math.inf,
     ) -> None:
         self._databases = DatabaseView(data_centre, instance, evacuation_grace_seconds)
-        self._limits = PoolLimits(self._databases, QUOTA_FRACTION)
+        self._limits = PoolLimits(
+            self._databases, QUOTA_FRACTION, n_connections=n_connections
+        )
         self._pool = ConnectionPool(self._limits)
         self._gateways = GatewayClient(identity)
         self._pending: dict[int, _PendingStatement] = {}
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -44,7 +44,7 @@
     listener = ClientListener(Address("127.0.0.1", 0), sink, BootClock())
     sink.listener = listener
     await listener.start()
-    port = listener._server.sockets[0].getsockname()[1]
+    port = listener.address.port
 
     async def connect():
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -133,7 +133,7 @@
 
 async def connect_socket(listener):
     """Open a session on a blocking socket, whose bytes arrive when they are sent."""
-    port = listener._server.sockets[0].getsockname()[1]
+    port = listener.address.port
     client = socket.create_connection(("127.0.0.1", port))
     client.sendall(b"START bookings key\r\n")
     client.setblocking(False)
@@ -206,6 +206,15 @@
     asyncio.run(check_arriving_request(n_iterations, close_idle))
 
 
+async def read_until_closed(reader):
+    """Return what a stream receives until the connection ends, also by a reset."""
+    received = []
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(1000):
+            received.append(data)
+    return b"".join(received)
+
+
 def test_pipelined_requests_are_answered_when_their_session_ends():
     """Guards against a connection that reads on after its session was ended, because
     the stream resumes it once its buffer is empty: it then fails and the request that
@@ -217,15 +226,15 @@
         async with run_listener() as (listener, sink, connect):
             reader, writer = await connect()
             first = await send_statement(sink, writer, request)
-            # More than the stream buffers (2 MiB), so that it stops to receive.
+            # More than a connection buffers, so that it stops to receive.
             writer.write(request * 6)
             (session,) = listener._sessions.values()
-            while session._writer.transport.is_reading():  # noqa: ASYNC110
+            while not session._connection.is_paused:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
             listener.end_sessions()
             n_passed_on = 1
             listener.offer(StatementAnswered(first.session_id, SessionState.IDLE))
-            received = asyncio.ensure_future(reader.read())
+            received = asyncio.ensure_future(read_until_closed(reader))
             while not received.done():
                 statement = asyncio.ensure_future(sink.statements.get())
                 await asyncio.wait(
@@ -239,10 +248,7 @@
                     listener.offer(make_answer(statement.result()))
                 else:
                     statement.cancel()
-            try:
-                answers = received.result()
-            except ConnectionError:
-                answers = bytes(reader._buffer)
+            answers = received.result()
             assert answers == b"DONE -\r\nREADY I -\r\n" * n_passed_on
 
     asyncio.run(run())
@@ -313,9 +319,8 @@
         async with run_listener() as (listener, sink, _):
             client = await connect_socket(listener)
             (session,) = listener._sessions.values()
-            transport = session._writer.transport
             n_answers = 0
-            while not transport.get_write_buffer_size():
+            while not session.has_unsent_answer:
                 client.sendall(b"QUERY 1 READ a\r\n")
                 statement = await sink.statements.get()
                 rows = ("x" * 30_000,)
