Let reads leave a data centre whose databases are too few

Cause: each instance counted its own statements only, one or two in a large fleet, and added a constant for another data centre, so reads stayed at a database that all instances together had filled.

--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -82,6 +82,11 @@
     REQUEST_CUT_OFF = EventKind(
         237, "info", "A client's connection ended before the answer to its request."
     )
+    LOCALITY_CHANGED = EventKind(
+        239,
+        "info",
+        "Reads of a group begin or cease to leave the data centre to save time.",
+    )
     CLIENT_CLOSED = EventKind(
         238,
         "warning",
--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -137,6 +137,10 @@
             if entry.data_centre in self._evacuated_since
         ]
 
+    def is_local(self, entry: DatabaseEntry) -> bool:
+        """Return whether a database is in the data centre of this instance."""
+        return entry.data_centre == self._data_centre
+
     def find_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """Return the primary of a group if this instance may send work to it now.
 
@@ -204,6 +208,8 @@
         tried: Collection[str],
         estimate_load: Callable[[DatabaseEntry], float],
         now: float,
+        *,
+        should_leave: bool = False,
     ) -> DatabaseEntry | None:
         """Return the database with the lowest cost among those that may serve a read.
 
@@ -212,7 +218,9 @@
         :param tried: databases that already failed the statement.
         :param estimate_load: returns the expected wait at a database, in the unit of
             the costs.
+        :param should_leave: databases of other data centres cost less instead of more.
         """
+        remote_cost = -REMOTE_COST if should_leave else REMOTE_COST
         primary = self.find_primary(group, now)
         record = self._record.find_group(group)
         unusable_primary = (
@@ -226,6 +234,7 @@
             if self.decide_usage(entry, now).usage is not Usage.NEW_WORK:
                 continue
             cost = estimate_load(entry) + self._estimate_cost(entry, now)
+            cost += 0.0 if self.is_local(entry) else remote_cost
             cost += PRIMARY_COST if is_primary else 0.0
             costs[entry] = cost
         n_known = len(self._preferences)
@@ -239,10 +248,8 @@
         )
 
     def _estimate_cost(self, entry: DatabaseEntry, now: float) -> float:
-        cost = REMOTE_COST if entry.data_centre != self._data_centre else 0.0
-        if now < self._failing_until.get(entry.name, NEVER):
-            cost += FAILED_COST
-        return cost
+        is_failing = now < self._failing_until.get(entry.name, NEVER)
+        return FAILED_COST if is_failing else 0.0
 
     def _list_group(self, group: str, now: float) -> list[DatabaseEntry]:
         removed = [
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -187,13 +187,20 @@
 
     def __init__(self, directory):
         self._directory = directory
-        self.store = ObjectStoreServer(lambda group, name: True)
+        self.store = ObjectStoreServer(self._promote)
         self.databases = [
             LineProtocolDatabase(name, "g", is_primary=name == "p")
             for name in ("p", "r1", "r2")
         ]
         self._peak_descriptors = 0
 
+    def _promote(self, group, name):
+        """Promote a database; the former primary becomes a replica of the next term."""
+        for database in self.databases:
+            database.is_primary = database.name == name
+            database.term += 1
+        return True
+
     async def start(self):
         """Start all parts and wait until the instance serves."""
         await self.store.start()
