--- a/src/sardinemill/cli.py
+++ b/src/sardinemill/cli.py
@@ -16,6 +16,7 @@
 from .adapters.status_source import HttpStatusSource
 from .adapters.store import HttpStore
 from .command_runner import (
+    CheckRoutesCommand,
     Command,
     CommandContext,
     EditCommand,
@@ -28,12 +29,14 @@
     run_command,
 )
 from .commands import COMMANDS
+from .configuration_check import check_configuration
 from .edits import Invalid
-from .errors import SardinemillError, StoreError
+from .errors import ConfigurationError, SardinemillError, StoreError
 from .interfaces import Clock, Store
 from .operations import OperationContext
 from .overview import CountersSource, FleetReader, read_overview
-from .presentation import format_overview
+from .presentation import format_check, format_overview
+from .sessions.routes import Configuration as RouteConfiguration
 from .validation import InvalidConfiguration
 
 GLOBAL_HELP = """\
@@ -79,6 +82,13 @@
         """
         ...
 
+    def decode_routes(self, data: bytes) -> RouteConfiguration:
+        """Decode a configuration in the form in which the platform stores it.
+
+        :raises ConfigurationError: if it is malformed.
+        """
+        ...
+
 
 class StoreClient(Store, Client, Protocol):
     """Client of the platform's store."""
@@ -135,6 +145,10 @@
             report = asyncio.run(_show_overview(command, options.store, platform))
             _print_report(report, options.json, output)
             return int(report.status)
+        if isinstance(command, CheckRoutesCommand):
+            report = _check_routes(command, platform)
+            _print_report(report, options.json, output)
+            return int(report.status)
         client = store or _make_store_client(options.store)
         status_source = HttpStatusSource()
         context = CommandContext(
@@ -245,6 +259,30 @@
     return Report(text=format_overview(fleet), data=fleet)
 
 
+def _check_routes(
+    command: CheckRoutesCommand, platform: FleetClientFactory | None
+) -> Report:
+    """Check a configuration file in the form of the platform.
+
+    :raises ValueError: without a platform, or if a file cannot be read or decoded.
+    """
+    if platform is None:
+        raise ValueError("routes check needs a platform; none is built in")
+    decoded: list[RouteConfiguration] = []
+    for path in (command.file, command.against):
+        if path is None:
+            continue
+        try:
+            decoded.append(platform.decode_routes(path.read_bytes()))
+        except OSError as error:
+            raise ValueError(f"{path}: {error.strerror}") from error
+        except ConfigurationError as error:
+            raise ValueError(f"{path}: {error.message}") from error
+    report = check_configuration(*decoded)
+    status = ExitStatus.WRONG_INPUT if report.has_errors else ExitStatus.DONE
+    return Report(status=status, text=format_check(report), data=report)
+
+
 def _ask_operator(text: str, answers: TextIO | None) -> bool:
     """Print a prompt on standard error and return whether the answer is ``yes``.
 
--- a/src/sardinemill/command_runner.py
+++ b/src/sardinemill/command_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import IntEnum
+from pathlib import Path
 
 from .changes import Change
 from .differences import compare_configurations
@@ -123,6 +124,17 @@
     metrics: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CheckRoutesCommand:
+    """Command that checks a configuration file in the form of a platform.
+
+    :param against: file with the configuration in force, ``None`` for no comparison.
+    """
+
+    file: Path
+    against: Path | None
+
+
 async def run_command(
     command: Command | EditCommand | IssueKeyCommand, context: CommandContext
 ) -> Report:
--- a/src/sardinemill/commands.py
+++ b/src/sardinemill/commands.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from .command_runner import (
+    CheckRoutesCommand,
     Command,
     CommandContext,
     ExitStatus,
@@ -152,6 +153,21 @@
     return OverviewCommand(tuple(metrics or ()))
 
 
+def routes_check(file: Path, *, against: Path | None = None) -> CheckRoutesCommand:
+    """Check a configuration of routes and workspaces before it is sent.
+
+    Reports errors, entries that can never match, limits that contradict each other, and
+    what differs from the version in force. The file has the form in which the platform
+    stores the configuration. Exit status 2: it has errors.
+
+    Example: ``sardinemill routes check next.json --against current.json``
+
+    :param file: JSON file with the configuration
+    :param against: JSON file with the version in force
+    """
+    return CheckRoutesCommand(file, against)
+
+
 def wait(*, version: int | None = None, seconds: float = 30.0) -> Command:
     """Wait until a version is in force at every live instance.
 
@@ -268,6 +284,7 @@
     "undo": undo,
     "status": status,
     "overview": overview,
+    "routes": {"check": routes_check},
     "wait": wait,
     "drain": drain,
     "promote": promote,
--- a/src/sardinemill/platform/command_line.py
+++ b/src/sardinemill/platform/command_line.py
@@ -5,8 +5,12 @@
 from collections.abc import Sequence
 
 from ..cli import run
+from ..errors import ConfigurationError
+from ..sessions.routes import Configuration
+from .json_documents import decode_document
 from .overview import MetricsReader, PlatformReader
 from .settings import parse_address
+from .store_documents import decode_configuration
 
 
 class PlatformClientFactory:
@@ -37,6 +41,17 @@
             raise ValueError("\n".join(errors))
         return MetricsReader()
 
+    def decode_routes(self, data: bytes) -> Configuration:
+        """Decode a configuration as the store holds it, without its metadata.
+
+        :raises ConfigurationError: when it is malformed.
+        """
+        try:
+            document = decode_document(data)
+        except ValueError as error:
+            raise ConfigurationError(f"not JSON: {error}", step="decode") from error
+        return decode_configuration(document)
+
 
 def main() -> None:
     """Run the console script; exit with the command's status."""
--- a/src/sardinemill/presentation.py
+++ b/src/sardinemill/presentation.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime
 
 from .configuration import Configuration
+from .configuration_check import CheckReport, Severity
 from .differences import Difference
 from .documents import EditRecord
 from .edits import Conflict
@@ -193,6 +194,25 @@
     return "\n".join(parts)
 
 
+def format_check(report: CheckReport) -> str:
+    """Format the findings of a check and the differences from the version in force."""
+    lines = [
+        f"{item.severity.value}: {item.entry}: {item.text}\n"
+        for item in report.findings
+    ]
+    for changes in report.changes:
+        for sign, names in (
+            ("+", changes.added),
+            ("-", changes.removed),
+            ("~", changes.changed),
+        ):
+            lines += [f"  {sign} {changes.kind} {name}\n" for name in names]
+    n_errors = sum(item.severity is Severity.ERROR for item in report.findings)
+    n_warnings = len(report.findings) - n_errors
+    summary = f"version {report.version}: {n_errors} errors, {n_warnings} warnings\n"
+    return "".join([*lines, summary])
+
+
 def _describe_phase(group: GroupOverview) -> str:
     if group.is_changing:
         return "changing"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 from sardinemill.documents import HEAD_NAME
 from sardinemill.errors import StoreUnavailable
 from sardinemill.fleet.records import Directory, FleetRecord
+from sardinemill.platform.command_line import PlatformClientFactory
 
 PLANS = [{"name": "small", "rate_per_second": 5, "burst": 10}]
 WORKSPACES = [{"name": "loans", "plan": "small", "group": "books"}]
@@ -26,6 +27,9 @@
     def make_counters_source(self, addresses):
         return self
 
+    def decode_routes(self, data):
+        return PlatformClientFactory().decode_routes(data)
+
     async def start(self):
         pass
 
