--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -11,6 +11,7 @@
 from ..sessions.client_limits import (
     DEFAULT_CLIENT_LIMITS,
     ClientLimits,
+    ClientLoad,
     LargeMessagePermits,
     SessionPhase,
     SessionStatus,
@@ -44,6 +45,7 @@
     :param sink: receives :class:`SessionOpened`, :class:`StatementReceived` and
         :class:`SessionClosed`.
     :param events: receives log events; ``None`` disables them.
+    :param observer: receives :class:`ClientLoad` when it has changed.
     """
 
     def __init__(
@@ -54,7 +56,10 @@
         *,
         limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
         events: Outlet | None = None,
+        observer: Outlet | None = None,
     ) -> None:
+        self._observer = observer
+        self._observed_load: ClientLoad | None = None
         self._address = address
         self._sink = sink
         self._clock = clock
@@ -242,16 +247,24 @@
     def _log_closed(self, session: ClientSession | None, reason: str) -> None:
         if self._events is None:
             return
+        load = self._measure_load()
         fields = {
             "session": None if session is None else session.session_id,
             "phase": None if session is None else session.phase.name.lower(),
             "reason": reason,
-            "n_sessions": len(self._sessions),
-            "n_large_messages": self._permits.n_held,
-            "unsent_bytes": sum(item.n_bytes for item in self._unsent.values()),
+            "n_sessions": load.n_sessions,
+            "n_large_messages": load.n_large_messages,
+            "unsent_bytes": load.unsent_bytes,
         }
         self._events.offer(Event(EventName.CLIENT_CLOSED, fields))
 
+    def _measure_load(self) -> ClientLoad:
+        return ClientLoad(
+            len(self._sessions),
+            self._permits.n_held,
+            sum(item.n_bytes for item in self._unsent.values()),
+        )
+
     # Limits that sessions share
 
     def record_phase(self, session: ClientSession) -> None:
@@ -303,3 +316,10 @@
                 reason = "a large message took too long or found no room"
                 self._close(session_id, reason)
             self._close_unsent()
+            self._report_load()
+
+    def _report_load(self) -> None:
+        load = self._measure_load()
+        if self._observer is not None and load != self._observed_load:
+            self._observed_load = load
+            self._observer.offer(load)
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -43,6 +43,7 @@
     clock, random_source = BootClock(), SystemRandom()
     store = PlatformStore(settings.store_address)
     metrics = make_metrics(settings.instance, settings.data_centre)
+    observer = SessionMeasurements(metrics, clock)
     identity = Identity(
         name=settings.instance,
         data_centre=settings.data_centre,
@@ -83,12 +84,13 @@
                 clock,
                 limits=settings.client_limits,
                 events=events,
+                observer=observer,
             ),
             make_upstreams=lambda sink, control: UpstreamManager(sink, control, clock),
             make_promotion_calls=lambda sink: PromotionClient(
                 settings.promotion_address, sink, clock
             ),
-            observer=SessionMeasurements(metrics, clock),
+            observer=observer,
             components=(store, probes, metrics),
         ),
         stop_seconds=settings.stop_seconds,
--- a/src/sardinemill/session_measurements.py
+++ b/src/sardinemill/session_measurements.py
@@ -5,6 +5,7 @@
 from .fleet.store_messages import StoreRequestFailed
 from .fleet.views import RecordConfirmed
 from .interfaces import Clock
+from .sessions.client_limits import ClientLoad
 from .sessions.messages import StatementResult
 from .sessions.routes import RoutesChanged
 from .telemetry import Metric, Telemetry
@@ -32,6 +33,10 @@
             # Infinite while the record, received from another instance, is unconfirmed.
             if math.isfinite(age):
                 self._record(Metric.CONFIRMED_AGE_SECONDS, age)
+        elif isinstance(message, ClientLoad):
+            self._record(Metric.CLIENT_SESSIONS, float(message.n_sessions))
+            self._record(Metric.LARGE_MESSAGES, float(message.n_large_messages))
+            self._record(Metric.UNSENT_ANSWER_BYTES, float(message.unsent_bytes))
         elif isinstance(message, StoreRequestFailed):
             labels = {"call": type(message.request).__name__}
             labels["fault"] = message.fault.value
--- a/src/sardinemill/sessions/client_limits.py
+++ b/src/sardinemill/sessions/client_limits.py
@@ -99,6 +99,15 @@
 DEFAULT_CLIENT_LIMITS = compute_client_limits(DEFAULT_MEMORY_BYTES, DEFAULT_DESCRIPTORS)
 
 
+@dataclass(frozen=True, slots=True)
+class ClientLoad:
+    """What clients make an instance hold at the moment."""
+
+    n_sessions: int
+    n_large_messages: int
+    unsent_bytes: int
+
+
 class SessionPhase(IntEnum):
     """What a session waits for, in the order in which sessions give way."""
 
--- a/src/sardinemill/telemetry.py
+++ b/src/sardinemill/telemetry.py
@@ -63,6 +63,13 @@
     STORE_FAILURES = MetricKind(
         "counter", "{call}", "Calls of the store that gave nothing.", ("call", "fault")
     )
+    CLIENT_SESSIONS = MetricKind("gauge", "{session}", "Open sessions of clients.")
+    LARGE_MESSAGES = MetricKind(
+        "gauge", "{message}", "Large messages that are received or executed."
+    )
+    UNSENT_ANSWER_BYTES = MetricKind(
+        "gauge", "By", "Large answers that clients have not taken yet."
+    )
     DROPPED_MEASUREMENTS = MetricKind(
         "counter", "{measurement}", "Measurements lost before the exporter was loaded."
     )
@@ -74,6 +81,9 @@
         Metric.STATEMENTS,
         Metric.STATEMENT_SECONDS,
         Metric.STORE_FAILURES,
+        Metric.CLIENT_SESSIONS,
+        Metric.LARGE_MESSAGES,
+        Metric.UNSENT_ANSWER_BYTES,
         Metric.DROPPED_MEASUREMENTS,
     }
 )
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -6,6 +6,7 @@
 from sardinemill.fleet.rate_tolerance import RateTolerance
 from sardinemill.groups import Address
 from sardinemill.platform.settings import parse_address, parse_platform_settings
+from sardinemill.sessions.client_limits import compute_client_limits
 
 TEXT = """node=front-x-1
 zone=x
@@ -42,6 +43,18 @@
     ]
 
 
+def test_machine_that_cannot_hold_an_instance_is_an_error():
+    """Guards against an instance that starts on a machine which is too small, and is
+    killed under load, and against limits of another machine.
+    """
+    limits = parse_platform_settings(TEXT + "limits.memory_mb=152\n").client_limits
+    assert limits == compute_client_limits(152_000_000, 4096)
+    with pytest.raises(SettingsError, match="91 MB of memory, an instance needs 92"):
+        parse_platform_settings(TEXT + "limits.memory_mb=91\n")
+    with pytest.raises(SettingsError, match="220 descriptors leave 10 sessions"):
+        parse_platform_settings(TEXT + "limits.file_descriptors=220\n")
+
+
 def test_advertised_address():
     """Guards against peers that connect to an address without a listener."""
     assert parse_platform_settings(TEXT).advertised_address == Address(
