Part the choice of a database from placement; end waits for permits at a stop

Moves code only in placement. A session that waited for a permit held up the end of a stop until the wait was over; the new test hung before.

--- a/src/sardinemill/platform/client_session.py
+++ b/src/sardinemill/platform/client_session.py
@@ -32,6 +32,10 @@
         """Wait for the permit to receive and execute a large message."""
         ...
 
+    def end_permit_wait(self, session: "ClientSession") -> None:
+        """Let a session that waits for a permit go on, since its stream has ended."""
+        ...
+
     def record_received(self, session: "ClientSession") -> None:
         """Record that a message is complete."""
         ...
@@ -118,6 +122,7 @@
         that the task has not handled yet.
         """
         self._connection.end()
+        self._owner.end_permit_wait(self)
 
     def end(self, *, with_transactions: bool = False) -> None:
         """Close the connection as soon as it is idle.
--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -283,6 +283,12 @@
         finally:
             del self._permit_waiters[session_id]
 
+    def end_permit_wait(self, session: ClientSession) -> None:
+        """Let a session that waits for a permit go on, since its stream has ended."""
+        waiter = self._permit_waiters.get(session.session_id)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
     def record_received(self, session: ClientSession) -> None:
         """Record that a message is complete."""
         self._permits.record_received(session.session_id)
@@ -290,9 +296,9 @@
     def release_permit(self, session: ClientSession) -> None:
         """Give up the permit of a session and pass it on."""
         for session_id in self._permits.release(session.session_id, self._clock.now()):
-            waiter = self._permit_waiters.get(session_id)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(None)
+            granted = self._sessions.get(session_id)
+            if granted is not None:
+                self.end_permit_wait(granted)
 
     def record_unsent(self, session: ClientSession, n_bytes: int) -> None:
         """Record how much of a session's answers its client has not taken."""
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -26,11 +26,11 @@
 )
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
 from .connections import QUOTA_FRACTION, Connection
+from .database_choice import DatabaseChoice
 from .database_usage import Usage
 from .databases import DatabaseView
 from .gateway_client import ForwardedStatement, GatewayClient
 from .gateway_messages import GatewayOutcome
-from .locality import LocalityPolicy, ShareChange
 from .messages import (
     Dispatch,
     Effect,
@@ -40,7 +40,7 @@
     TransactionAbandoned,
     TransactionStep,
 )
-from .routes import Consistency, RoutesChanged
+from .routes import RoutesChanged
 
 # Attempts for one statement, the first included.
 MAX_ATTEMPTS = 3
@@ -112,7 +112,7 @@
         )
         self._pool = ConnectionPool(self._limits)
         self._gateways = GatewayClient(identity)
-        self._locality = LocalityPolicy()
+        self._choice = DatabaseChoice(self._databases)
         self._pending: dict[int, _PendingStatement] = {}
         self._next_maintenance_at = 0.0
         self._has_primary_lease = False
@@ -247,31 +247,14 @@
         self, pending: _PendingStatement, now: float
     ) -> list[Emission]:
         request = pending.request
-        group = request.route.group
-        primary = self._databases.find_primary(group, now)
-        chosen: DatabaseEntry | None = None
-        minimum_position: LogPosition | None = None
-        needs_primary = (
-            not request.is_read_only or request.route.consistency is Consistency.PRIMARY
+        chosen, emissions = self._choice.choose(
+            request,
+            pending.tried,
+            lambda entry: self._estimate_load(entry, request.workspace, now),
+            now,
         )
-        emissions: list[Emission] = []
-        if not needs_primary:
-            minimum_position = self._databases.find_minimum_position(request, now)
-            if minimum_position is not None:
-                should_leave, change = self._locality.decide_read(group, now)
-                if change is not None:
-                    emissions.append(_make_share_event(change))
-                chosen = self._databases.choose_read_database(
-                    group,
-                    pending.tried,
-                    lambda entry: self._estimate_load(entry, request.workspace, now),
-                    now,
-                    should_leave=should_leave,
-                )
-        if chosen is None and primary is not None and primary.name not in pending.tried:
-            chosen = primary
         if chosen is None:
-            phase = self._databases.describe_phase(group)
+            phase = self._databases.describe_phase(request.route.group)
             age = self._databases.find_lease_evidence_age(now)
             return emissions + self._refuse(
                 pending,
@@ -279,18 +262,11 @@
                 f"no database to use: primary {phase}, lease evidence {age:.2f} s"
                 f" old, {len(pending.tried)} tried; retry after 0.5 s",
             )
-        pending.is_on_primary = primary is not None and chosen.name == primary.name
-        pending.minimum_position = None if pending.is_on_primary else minimum_position
+        pending.is_on_primary = chosen.is_primary
+        pending.minimum_position = chosen.minimum_position
+        pending.evidence_age_seconds = chosen.evidence_age_seconds
         pending.n_attempts += 1
-        pending.evidence_age_seconds = self._find_evidence_age(pending, now)
-        return emissions + self._enqueue(pending, chosen, now)
-
-    def _find_evidence_age(
-        self, pending: _PendingStatement, now: float
-    ) -> float | None:
-        if pending.is_on_primary:
-            return self._databases.find_lease_evidence_age(now)
-        return self._databases.find_position_age(pending.request.route.group, now)
+        return emissions + self._enqueue(pending, chosen.entry, now)
 
     def _estimate_load(self, entry: DatabaseEntry, workspace: str, now: float) -> float:
         """Return the expected wait at a database, in units of one waiting statement."""
@@ -388,43 +364,12 @@
         pending = self._pending.get(request.request_id)
         if pending is None:
             return emissions
-        self._record_read_time(pending, database, message, now)
+        self._choice.record_finished(request, database, message, now)
         effect = classify_effect(request, message)
         return emissions + self._conclude_attempt(
             pending, database, message, effect, now
         )
 
-    def _record_read_time(
-        self,
-        pending: _PendingStatement,
-        database: str,
-        message: StatementFinished,
-        now: float,
-    ) -> None:
-        """Record how long a read took that other databases could have served."""
-        request = pending.request
-        entry = self._databases.find_entry(database, now)
-        if (
-            entry is None
-            or not message.is_answered
-            or not request.is_read_only
-            or request.step is not TransactionStep.NONE
-            or request.route.consistency is Consistency.PRIMARY
-        ):
-            return
-        is_local = self._databases.is_local(entry)
-        group = request.route.group
-        if message.code is ErrorCode.BUSY:
-            self._locality.record_refusal(group, is_local=is_local, now=now)
-        elif message.code is None and message.asked_at > 0:
-            self._locality.record_read(
-                group,
-                is_local=is_local,
-                seconds=now - message.asked_at,
-                n_bytes=sum(len(row) for row in message.rows),
-                now=now,
-            )
-
     def _conclude_attempt(
         self,
         pending: _PendingStatement,
@@ -644,17 +589,6 @@
         return request.step is TransactionStep.FIRST and effect is Effect.NOT_RUN
 
 
-def _make_share_event(change: ShareChange) -> Emission:
-    fields = {
-        "group": change.group,
-        "share": change.share,
-        "here_seconds": change.here_seconds,
-        "elsewhere_seconds": change.elsewhere_seconds,
-        "saving_seconds": change.saving_seconds,
-    }
-    return Emission("events", Event(EventName.LOCALITY_CHANGED, fields))
-
-
 def _may_repeat(pending: _PendingStatement, effect: Effect, now: float) -> bool:
     """Return whether a statement, even a write, may use another connection."""
     request = pending.request
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import socket
+from dataclasses import replace
 
 import pytest
 
 from sardinemill.adapters.clocks import BootClock
 from sardinemill.groups import Address
 from sardinemill.platform.clients import ClientListener
+from sardinemill.sessions.client_limits import DEFAULT_CLIENT_LIMITS
 from sardinemill.sessions.messages import (
     SessionAccepted,
     SessionClosed,
@@ -38,10 +40,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_listener():
+async def run_listener(limits=DEFAULT_CLIENT_LIMITS):
     """Yield a listener, its sink and a function that opens a session."""
     sink, writers = Sink(), []
-    listener = ClientListener(Address("127.0.0.1", 0), sink, BootClock())
+    address = Address("127.0.0.1", 0)
+    listener = ClientListener(address, sink, BootClock(), limits=limits)
     sink.listener = listener
     await listener.start()
     port = listener.address.port
@@ -254,6 +257,24 @@
     asyncio.run(run())
 
 
+def test_session_that_waits_for_a_permit_ends_with_the_stop():
+    """Guards against a stop that waits for large messages which find no room."""
+    limits = replace(DEFAULT_CLIENT_LIMITS, n_large_messages=1)
+
+    async def run():
+        async with run_listener(limits) as (listener, sink, connect):
+            _, first = await connect()
+            reader, second = await connect()
+            for writer in (first, second):
+                writer.write(b"QUERY 1 WRITE a " + b"x" * 100_000)
+            while not listener._permit_waiters:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            listener.end_sessions()
+            assert await read_until_closed(reader) == b""
+
+    asyncio.run(run())
+
+
 def test_stop_reports_sessions_that_await_an_answer():
     """Guards against a request that is cut off by the end of the process and leaves no
     trace in the logs.
