--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -263,14 +263,18 @@
 
     async def run():
         async with run_listener(limits) as (listener, sink, connect):
-            _, first = await connect()
-            reader, second = await connect()
-            for writer in (first, second):
-                writer.write(b"QUERY 1 WRITE a " + b"x" * 100_000)
+            _, writer = await connect()
+            # Otherwise the check of overdue messages would close the session later.
+            listener._checks.cancel()
+            large = b"QUERY 1 WRITE a " + b"x" * 100_000
+            await send_statement(sink, writer, large + b"\r\n")
+            reader, waiting = await connect()
+            waiting.write(large)
             while not listener._permit_waiters:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
             listener.end_sessions()
-            assert await read_until_closed(reader) == b""
+            async with asyncio.timeout(10.0):
+                assert await read_until_closed(reader) == b""
 
     asyncio.run(run())
 
