Grant no grace period to an instance that starts during an evacuation

Found when reading the diff: the period began when an instance learned of the evacuation, so with each start.

--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -81,9 +81,11 @@
         self._removed = {
             name: item for name, item in self._removed.items() if name not in present
         }
+        # An instance that starts during an evacuation has nothing under way there.
+        learned_at = now if self._directory.databases else NEVER
         self._directory = directory
         self._evacuated_since = {
-            name: self._evacuated_since.get(name, now)
+            name: self._evacuated_since.get(name, learned_at)
             for name in directory.evacuated_data_centres
         }
         ranked = rank_candidates(self._instance, present)
@@ -116,12 +118,18 @@
             entry = removed_entry if now - removed_at < REMOVAL_GRACE_SECONDS else None
         return entry
 
-    def decide_usage(self, entry: DatabaseEntry, now: float) -> UsageDecision:
-        """Return for what a database may be used now, and why."""
+    def decide_usage(
+        self, entry: DatabaseEntry, now: float, *, is_primary: bool = False
+    ) -> UsageDecision:
+        """Return for what a database may be used now, and why.
+
+        :param is_primary: it leads its group, so that it cannot lag.
+        """
         since = self._evacuated_since.get(entry.data_centre)
         condition = DatabaseCondition(
             is_leaving=entry.is_leaving,
-            is_lagging=now < self._lagging_until.get(entry.name, NEVER),
+            is_lagging=not is_primary
+            and now < self._lagging_until.get(entry.name, NEVER),
             evacuated_seconds=None if since is None else now - since,
         )
         return decide_usage(condition, self._evacuation_grace_seconds)
@@ -231,7 +239,8 @@
             is_primary = primary is not None and entry.name == primary.name
             if entry.name in tried or entry.name == unusable_primary:
                 continue
-            if self.decide_usage(entry, now).usage is not Usage.NEW_WORK:
+            decision = self.decide_usage(entry, now, is_primary=is_primary)
+            if decision.usage is not Usage.NEW_WORK:
                 continue
             cost = estimate_load(entry) + self._estimate_cost(entry, now)
             cost += 0.0 if self.is_local(entry) else remote_cost
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -131,6 +131,17 @@
     assert (result.code, result.database) == (ErrorCode.BUSY, "")
 
 
+def test_instance_that_starts_during_an_evacuation_uses_no_database_there():
+    """Guards against a grace period that begins anew with each start."""
+    placement = Placement("x", evacuation_grace_seconds=GRACE_SECONDS)
+    placement.handle(make_routes_changed(), NOW)
+    placement.handle(make_evacuated("x"), NOW)
+    keep_lease(placement, NOW)
+    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE)
+    (result,) = select(placement.handle(request, NOW), "result", StatementResult)
+    assert result.code is ErrorCode.BUSY
+
+
 def test_evacuation_that_is_taken_back_ends_at_once():
     """Guards against a database that stays unused after the end of an evacuation."""
     placement = make_placement()
