Drop requests sent ahead when their connection ends

Cause: a session went on with the statements that it had received after its client had left. The new test failed before.

--- a/src/sardinemill/platform/client_connection.py
+++ b/src/sardinemill/platform/client_connection.py
@@ -75,7 +75,9 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the stream and all waiting."""
+        """End the stream and all waiting; drop requests that nobody awaits any more."""
+        self._buffer.clear()
+        self._n_searched = 0
         self._has_ended = self._is_lost = True
         self._wake()
         self._may_write.set()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -247,6 +247,24 @@
     assert asyncio.run(read_all(pieces)) == asyncio.run(read_all([text]))
 
 
+def test_requests_sent_ahead_end_with_their_connection():
+    """Replays clients that send statements ahead and leave. Guards against an instance
+    that goes on running them and serves nobody else meanwhile.
+    """
+
+    async def run():
+        connection = ClientConnection(bytearray(64), lambda _: None)
+        connection.connection_made(FakeTransport())
+        data = b"QUERY 1 READ a\r\n" * 3
+        connection.get_buffer(len(data))[: len(data)] = data
+        connection.buffer_updated(len(data))
+        assert await connection.read_message(lambda: asyncio.sleep(0)) is not None
+        connection.connection_lost(None)
+        assert await connection.read_message(lambda: asyncio.sleep(0)) is None
+
+    asyncio.run(run())
+
+
 def test_message_of_the_largest_size_is_read_and_a_larger_one_is_not():
     """Guards against a limit that differs from the protocol's."""
     payload = b"x" * (MAX_LINE_BYTES - len(b"QUERY \r\n"))
