Let reads leave only where their latency objective is at risk

Change: reads of a route leave only while the time here takes a quarter of its latency objective; routes without one never leave.

--- a/src/sardinemill/sessions/database_choice.py
+++ b/src/sardinemill/sessions/database_choice.py
@@ -65,7 +65,8 @@
         if not needs_primary(request):
             minimum_position = self._databases.find_minimum_position(request, now)
         if minimum_position is not None:
-            should_leave, change = self._locality.decide_read(group, now)
+            target = request.route.target_seconds
+            should_leave, change = self._locality.decide_read(group, target, now)
             if change is not None:
                 emissions.append(_make_share_event(change))
             chosen = self._databases.choose_read_database(
--- a/src/sardinemill/sessions/locality.py
+++ b/src/sardinemill/sessions/locality.py
@@ -27,6 +27,9 @@
 # Share that finds out how long reads take elsewhere, while they are slow here.
 PROBE_SHARE = 0.05
 SLOW_FACTOR = 2.0
+# Reads leave only while the time here takes more than this part of the latency
+# objective of their route. Below it their callers gain nothing that they need.
+NEED_FRACTION = 0.25
 # A refused read counts as this many times the smoothed time.
 REFUSAL_FACTOR = 4.0
 NEVER = float("-inf")
@@ -155,9 +158,13 @@
             now=now,
         )
 
-    def decide_read(self, group: str, now: float) -> tuple[bool, ShareChange | None]:
+    def decide_read(
+        self, group: str, target_seconds: float, now: float
+    ) -> tuple[bool, ShareChange | None]:
         """Decide whether the next read should leave.
 
+        :param target_seconds: latency objective of its route, 0 if it has none; its
+            reads never leave then.
         :returns: the decision, and a change from or to a share of 0.
         """
         state = self._groups.setdefault(group, _GroupLocality())
@@ -175,6 +182,9 @@
                     round(state.elsewhere.seconds, 4),
                     round(compute_saving(state.here, state.elsewhere), 4),
                 )
+        needed_from = NEED_FRACTION * target_seconds
+        if not target_seconds or state.here.seconds < needed_from:
+            return False, change
         state.credit += state.share
         leaves = state.credit >= 1.0
         state.credit -= leaves
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -14,6 +14,7 @@
 )
 
 NOW = 100.0
+TARGET_SECONDS = 0.3
 STEP = SHARE_INTERVAL_SECONDS
 
 
@@ -48,7 +49,7 @@
         self.n_left = self.n_stayed = 0
         while self.now < end:
             self.now += 1 / n_per_second
-            leaves, change = self.policy.decide_read("g", self.now)
+            leaves, change = self.policy.decide_read("g", TARGET_SECONDS, self.now)
             self.changes += [] if change is None else [change]
             self.n_left += leaves
             self.n_stayed += not leaves
@@ -129,7 +130,7 @@
     left = 0
     for number in range(400):
         now += 0.01
-        leaves, _ = policy.decide_read("g", now)
+        leaves, _ = policy.decide_read("g", TARGET_SECONDS, now)
         left += leaves
         if leaves or number < 20:
             policy.record_read(
@@ -140,6 +141,19 @@
     assert left > 50
 
 
+@pytest.mark.parametrize("target_seconds", [0.0, 1.1])
+def test_reads_stay_while_their_callers_need_nothing_faster(target_seconds):
+    """Guards against traffic between data centres that saves time which nobody needs,
+    and against routes without a latency objective that leave.
+    """
+    load = Load()
+    load.run(10.0, here=0.25, elsewhere=0.06)
+    leaves = [
+        load.policy.decide_read("g", target_seconds, load.now)[0] for _ in range(20)
+    ]
+    assert not any(leaves)
+
+
 def test_evidence_lapses():
     """Guards against a share that rests on times of a load that has gone."""
     load = Load()
@@ -147,5 +161,5 @@
     load.now += EVIDENCE_SECONDS + 1.0
     for _ in range(8):
         load.now += STEP
-        load.policy.decide_read("g", load.now)
-    assert load.policy.decide_read("g", load.now)[0] is False
+        load.policy.decide_read("g", TARGET_SECONDS, load.now)
+    assert load.policy.decide_read("g", TARGET_SECONDS, load.now)[0] is False
