Accept connections of clients in the listener itself

Cause: the event loop's server accepts as many connections at once as the backlog that it is given, so it got a backlog of 16, and the socket was told to listen a second time with 512. That rests on listen() replacing the backlog of a listening socket, and a queue of 16 drops connections when many clients return at once.

Change: the listener accepts up to 16 connections in one go and waits a moment when the process has no descriptor left. A decision without a reason reuses one object.

--- a/src/sardinemill/platform/clients.py
+++ b/src/sardinemill/platform/clients.py
@@ -31,6 +31,7 @@
 BACKLOG = 512
 # Connections accepted before the limit of sessions is checked again.
 ACCEPT_BATCH = 16
+ACCEPT_PAUSE_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.5
 # Time for the last answers of a session that has ended.
 CLOSE_TIMEOUT_SECONDS = 30.0
@@ -74,7 +75,7 @@
         self._unsent: dict[int, UnsentAnswer] = {}
         self._chunk = bytearray(READ_BYTES)
         self._is_ending = False
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._checks: asyncio.Task[None] | None = None
 
     @property
@@ -85,29 +86,23 @@
     @property
     def address(self) -> Address:
         """Address it listens on; with port 0 the kernel has chosen the port."""
-        if self._server is None:
+        if self._listener is None:
             return self._address
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
+        return Address(*self._listener.getsockname()[:2])
 
     async def start(self) -> None:
         """Listen for clients."""
-        loop = asyncio.get_running_loop()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
         try:
             listener.bind((self._address.host, self._address.port))
-            # The event loop accepts as many connections at once as the backlog it is
-            # given. That would exceed the limit before it is checked.
-            self._server = await loop.create_server(
-                lambda: ClientConnection(self._chunk, self._serve),
-                sock=listener,
-                backlog=ACCEPT_BATCH,
-            )
-        except BaseException:
+            listener.listen(BACKLOG)
+        except OSError:
             listener.close()
             raise
-        listener.listen(BACKLOG)
+        self._listener = listener
+        asyncio.get_running_loop().add_reader(listener, self._accept)
         self._checks = asyncio.create_task(self._check_limits())
 
     async def drain(self) -> None:
@@ -117,8 +112,10 @@
         """Close the listener and all sessions; report those that await an answer."""
         if self._checks is not None:
             self._checks.cancel()
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
         for session_id, session in list(self._sessions.items()):
             if session.is_request_pending:
                 self._sink.offer(SessionClosed(session_id))
@@ -169,6 +166,38 @@
 
     # Sessions
 
+    def _accept(self) -> None:
+        """Accept a few connections; the kernel keeps the others meanwhile.
+
+        A server of the event loop accepts as many at once as its backlog holds, and so
+        exceeds the limit of sessions before it is checked.
+        """
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        for _ in range(ACCEPT_BATCH):
+            try:
+                connection, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                # The process has no descriptor left.
+                loop.remove_reader(self._listener)
+                loop.call_later(ACCEPT_PAUSE_SECONDS, self._resume_accepting)
+                return
+            connection.setblocking(False)
+            task = loop.create_task(self._connect(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, connection: socket.socket) -> None:
+        await asyncio.get_running_loop().connect_accepted_socket(
+            lambda: ClientConnection(self._chunk, self._serve), connection
+        )
+
+    def _resume_accepting(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
     def _serve(self, connection: ClientConnection) -> None:
         """Start the task of a new connection, or close it if there is no room."""
         if len(self._sessions) >= self._limits.n_sessions and not self._make_room():
--- a/src/sardinemill/sessions/database_usage.py
+++ b/src/sardinemill/sessions/database_usage.py
@@ -43,6 +43,9 @@
     reason: str = ""
 
 
+_NEW_WORK = UsageDecision(Usage.NEW_WORK)
+
+
 def decide_usage(
     condition: DatabaseCondition, evacuation_grace_seconds: float
 ) -> UsageDecision:
@@ -64,7 +67,7 @@
         return UsageDecision(Usage.OPEN_TRANSACTIONS, "it is leaving")
     if condition.is_lagging:
         return UsageDecision(Usage.OPEN_TRANSACTIONS, "it lags behind")
-    return UsageDecision(Usage.NEW_WORK)
+    return _NEW_WORK
 
 
 def compute_evacuation_grace(evacuation_seconds: float) -> float:
