--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -239,6 +239,9 @@
         "error",
         "The entries of the configuration that are not used have changed.",
     )
+    CONFIGURATION_CONFIRMED = EventKind(
+        514, "info", "The configuration is again confirmed within the limit."
+    )
 
     # 6xx membership and peers
     INSTANCE_SUSPECTED = EventKind(
--- a/src/sardinemill/fleet/configuration_cache.py
+++ b/src/sardinemill/fleet/configuration_cache.py
@@ -29,15 +29,24 @@
         """Whether both the configuration and the directory are known."""
         return self.configuration.version > 0 and bool(self.directory.databases)
 
-    def adopt_configuration(self, configuration: Configuration) -> list[Emission]:
+    def adopt_configuration(
+        self, configuration: Configuration, source: str, age_seconds: float
+    ) -> list[Emission]:
         """Adopt a configuration if its version is higher than the known one.
 
+        :param source: name of the instance that it came from, or ``store``.
+        :param age_seconds: time since it was known to be the newest one.
         :returns: messages for ``routes`` and ``events``.
         """
         if configuration.version <= self.configuration.version:
             return []
-        self.configuration = configuration
-        fields = {"version": configuration.version}
+        previous, self.configuration = self.configuration, configuration
+        fields = {
+            "version": configuration.version,
+            "previous_version": previous.version,
+            "source": source,
+            "age_seconds": round(age_seconds, 3),
+        }
         return [
             Emission("routes", RoutesChanged(make_route_table(configuration))),
             Emission("events", Event(EventName.CONFIGURATION_ADOPTED, fields)),
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -7,6 +7,7 @@
 instances whose requests the store rejects learn it from others.
 """
 
+import math
 from collections.abc import Sequence
 
 from ..control import PeerEnvelope
@@ -17,6 +18,7 @@
 from ..sessions.gateway_messages import PeerIntroduced
 from ..sessions.messages import DrainStarted
 from .configuration_cache import ConfigurationCache
+from .configuration_evidence import ConfigurationEvidence
 from .contact_log import ContactLog
 from .coordinator_membership import CoordinatorMembership
 from .gateway_table import GatewayAssignment, list_scarce_databases
@@ -88,6 +90,8 @@
 # A tick that is delayed by more than this means that the process was paused.
 PAUSE_THRESHOLD_SECONDS = 1.0
 NEVER = float("-inf")
+# Names the store as the source of what an instance knows.
+STORE_SOURCE = "store"
 
 
 class FleetState:
@@ -95,10 +99,18 @@
 
     Outlets: ``store``, ``peers``, ``links``, ``routes``, ``directory``, ``record``,
     ``positions``, ``contacts``, ``coordination``, ``coordinators``, ``gateways``,
-    ``known``, ``isolation``, ``events``.
+    ``known``, ``isolation``, ``evidence``, ``events``.
+
+    :param configuration_limit_seconds: time within which a configuration has to be in
+        force after its acknowledgement.
     """
 
-    def __init__(self, identity: Identity, random: RandomSource) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        random: RandomSource,
+        configuration_limit_seconds: float = math.inf,
+    ) -> None:
         self._identity = identity
         self._membership = CoordinatorMembership(identity, random)
         self._writer = RecordWriter(identity, self._membership)
@@ -111,6 +123,7 @@
         self._confirmed_at = NEVER
         self._confirmed_by_store_at = NEVER
         self._cache = ConfigurationCache()
+        self._evidence = ConfigurationEvidence(configuration_limit_seconds)
         self._confirmations: dict[str, CoordinatorConfirmation] = {}
         self._outgoing = OutgoingQuestions()
         self._incoming = IncomingQuestions()
@@ -191,8 +204,13 @@
         else:
             self._read_scheduler.record_success(CONFIGURATION)
             if decision.is_used and message.configuration is not None:
-                emissions += self._cache.adopt_configuration(message.configuration)
-                self._read_scheduler.record_current(CONFIGURATION, message.asked_at)
+                age = now - message.asked_at
+                emissions += self._cache.adopt_configuration(
+                    message.configuration, STORE_SOURCE, age
+                )
+                emissions += self._confirm_configuration(
+                    message.asked_at, STORE_SOURCE, now
+                )
         return emissions
 
     def _handle_record_read(self, message: RecordRead, now: float) -> list[Emission]:
@@ -257,6 +275,7 @@
         emissions += self._emit_role(now)
         emissions += self._emit_isolation(now)
         emissions += self._emit_initial_sync(now)
+        emissions += self._evidence.check(self._cache.configuration.version, now)
         return emissions
 
     # The store
@@ -634,17 +653,24 @@
             # What proves to a coordinator that no later record existed at some time
             # proves it to every instance.
             emissions += self._confirm(asked_at - answer.confirmed_age_seconds)
+        confirmed_at = asked_at - answer.configuration_age_seconds
         if answer.configuration is not None:
-            emissions += self._cache.adopt_configuration(answer.configuration)
-        if answer.configuration_version == self._cache.configuration.version:
-            self._record_current(
-                CONFIGURATION, asked_at, answer.configuration_age_seconds
+            emissions += self._cache.adopt_configuration(
+                answer.configuration, peer, now - confirmed_at
             )
+        has_same_version = (
+            answer.configuration_version == self._cache.configuration.version
+        )
+        if has_same_version and answer.configuration_age_seconds < MAX_AGE_SECONDS:
+            emissions += self._confirm_configuration(confirmed_at, peer, now)
         read_at = asked_at - answer.directory_age_seconds
         if answer.directory is not None:
             emissions += self._adopt_directory(answer.directory, read_at)
-        if answer.directory is None or answer.directory == self._cache.directory:
-            self._record_current(DIRECTORY, asked_at, answer.directory_age_seconds)
+        has_same_directory = (
+            answer.directory is None or answer.directory == self._cache.directory
+        )
+        if has_same_directory and answer.directory_age_seconds < MAX_AGE_SECONDS:
+            self._read_scheduler.record_current(DIRECTORY, read_at)
         emissions += self._emit_positions(answer.positions, asked_at, now)
         is_coordinator = self._membership.is_coordinator(self._record)
         if answer.gateways is not None and not is_coordinator:
@@ -653,10 +679,13 @@
         self._writer.discard_superseded(self._version)
         return emissions
 
-    def _record_current(self, kind: str, asked_at: float, age_seconds: float) -> None:
-        """Record how current another instance's copy of a part is, if it has one."""
-        if age_seconds < MAX_AGE_SECONDS:
-            self._read_scheduler.record_current(kind, asked_at - age_seconds)
+    def _confirm_configuration(
+        self, at: float, source: str, now: float
+    ) -> list[Emission]:
+        """Record that the known configuration was the newest one at some time."""
+        self._read_scheduler.record_current(CONFIGURATION, at)
+        version = self._cache.configuration.version
+        return self._evidence.record(version, at, source, now)
 
     def _confirm_by_coordinators(self, now: float) -> list[Emission]:
         confirmations = dict(self._confirmations)
--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -96,6 +96,7 @@
         stop_seconds=settings.stop_seconds,
         tolerance=settings.rate_tolerance,
         client_limits=settings.client_limits,
+        configuration_limit_seconds=settings.configuration_limit_seconds,
         evacuation_grace_seconds=compute_evacuation_grace(settings.evacuation_seconds),
     )
     return instance
--- a/src/sardinemill/platform/settings.py
+++ b/src/sardinemill/platform/settings.py
@@ -1,5 +1,6 @@
 """Reader of the settings file that the platform places on each machine."""
 
+import math
 import os
 import re
 import socket
@@ -43,6 +44,8 @@
     "bounds.quota_slack": "20",
     # 0 where operators cannot evacuate a data centre.
     "bounds.evacuation_ms": "0",
+    # 0 where no time is stated in which a configuration has to be in force.
+    "bounds.config_apply_ms": "0",
     "limits.cpu_share": "1",
     "limits.cores": "1",
     "limits.memory_mb": str(DEFAULT_MEMORY_BYTES // MEGABYTE),
@@ -78,6 +81,8 @@
     :param evacuation_seconds: time after which nothing may reach the databases of an
         evacuated data centre, 0 if there are no evacuations.
     :param gateway_capacity: processor capacity in tenths of a core, at least 1.
+    :param configuration_limit_seconds: time within which a configuration has to be in
+        force, infinite where none is stated.
     """
 
     instance: str
@@ -95,6 +100,7 @@
     gateway_capacity: int = 10
     evacuation_seconds: float = 0.0
     client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS
+    configuration_limit_seconds: float = math.inf
 
 
 def read_platform_settings(environment: Mapping[str, str]) -> PlatformSettings:
@@ -167,6 +173,9 @@
         raise SettingsError("\n".join(errors), step="settings")
     host = fields["ip"]
     peer_address = Address(host, port_numbers[0])
+    configuration_ms = numbers["bounds.config_apply_ms"]
+    if not configuration_ms > 0:
+        configuration_ms = math.inf
     n_cores = numbers["limits.cpu_share"] * numbers["limits.cores"]
     return PlatformSettings(
         instance=fields["node"],
@@ -188,6 +197,7 @@
         client_limits=client_limits,
         evacuation_seconds=numbers["bounds.evacuation_ms"] / 1000,
         gateway_capacity=max(1, round(n_cores / CAPACITY_UNIT_CORES)),
+        configuration_limit_seconds=configuration_ms / 1000,
     )
 
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -1,6 +1,7 @@
 """Composition root of an instance that serves sessions."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -310,6 +311,8 @@
     :param evacuation_grace_seconds: time for open transactions after the instance has
         learned that a data centre is evacuated.
     :param client_limits: of what clients may make the instance hold.
+    :param configuration_limit_seconds: time within which a configuration has to be in
+        force after its acknowledgement.
     """
 
     def __init__(
@@ -321,10 +324,14 @@
         tolerance: RateTolerance = DEFAULT_TOLERANCE,
         evacuation_grace_seconds: float = 0.0,
         client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
+        configuration_limit_seconds: float = math.inf,
     ) -> None:
         self._clock = adapters.clock
         self._events = adapters.events
-        state = self._make_stage("state", FleetState(identity, adapters.random_source))
+        state = self._make_stage(
+            "state",
+            FleetState(identity, adapters.random_source, configuration_limit_seconds),
+        )
         failover = self._make_stage("failover", PrimaryFailover(identity.name))
         lending = self._make_stage(
             "token lender", TokenLender(identity.name, tolerance)
@@ -397,6 +404,7 @@
                 "gateways": placement,
                 "known": self.readiness,
                 "isolation": FanOut([self.readiness, session_closer]),
+                "evidence": FanOut([session_manager, observer]),
             }
         )
         running_failovers = RunningFailovers()
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -43,6 +43,7 @@
     Consistency,
     Route,
     RoutesChanged,
+    RoutesConfirmed,
 )
 from .text_comparison import compare_texts, find_changed_text
 
@@ -53,6 +54,7 @@
 MAX_OPENING_SECONDS = 1.5
 # Memory of an entry besides its texts.
 ENTRY_BYTES = 200
+NEVER = float("-inf")
 STOPPING_MESSAGE = "the instance is stopping; retry on another connection"
 
 
@@ -109,6 +111,7 @@
     def __init__(self, state_bytes: int = DEFAULT_CLIENT_LIMITS.state_bytes) -> None:
         self._state_budget = SessionStateBudget(state_bytes)
         self._route_table = EMPTY_ROUTE_TABLE
+        self._routes_confirmed_at = NEVER
         self._sessions: dict[int, _Session] = {}
         # Sessions that wait for the first configuration, with the end of the wait.
         self._opening: dict[int, tuple[SessionOpened, float]] = {}
@@ -129,9 +132,9 @@
         if isinstance(message, StatementReceived):
             emissions = self._handle_statement(message, now)
             refusals = find_refusals(message, emissions)
-            return [*emissions, *self._report_refusals(refusals)]
+            return [*emissions, *self._report_refusals(refusals, now)]
         if isinstance(message, MessageRefused):
-            return self._report_refusals([message])
+            return self._report_refusals([message], now)
         if isinstance(message, StatementResult):
             return self._handle_result(message, now)
         if isinstance(message, SessionOpened):
@@ -141,6 +144,9 @@
         if isinstance(message, RoutesChanged):
             self._route_table = message.table
             return self._open_waiting(now)
+        if isinstance(message, RoutesConfirmed):
+            self._routes_confirmed_at = message.confirmed_at
+            return ()
         if isinstance(message, DrainStarted):
             self._drain = message
             return self._open_waiting(now)
@@ -248,6 +254,7 @@
                 "database": message.database,
                 "code": code.value,
                 "configuration_version": self._route_table.version,
+                "configuration_age_seconds": self._find_configuration_age(now),
             }
             event = Event(EventName.SESSION_REFUSED, fields)
             count = MessageRefused(session_id=message.session_id, code=code)
@@ -309,7 +316,14 @@
             return None, (ErrorCode.ACCESS_DENIED, "unknown key")
         return (route, workspace or ANONYMOUS_WORKSPACE), None
 
-    def _report_refusals(self, refusals: Sequence[MessageRefused]) -> list[Emission]:
+    def _find_configuration_age(self, now: float) -> float | None:
+        """Return the age of the proof that no newer configuration exists."""
+        age = now - self._routes_confirmed_at
+        return round(age, 3) if math.isfinite(age) else None
+
+    def _report_refusals(
+        self, refusals: Sequence[MessageRefused], now: float
+    ) -> list[Emission]:
         emissions: list[Emission] = []
         for refused in refusals:
             session = self._sessions.get(refused.session_id)
@@ -318,7 +332,13 @@
                 resolved, _ = self._resolve_route(session.database, session.key)
                 if resolved is not None:
                     database, workspace = resolved[0].database, resolved[1]
-            event = make_refusal_event(refused, workspace=workspace, database=database)
+            event = make_refusal_event(
+                refused,
+                workspace=workspace,
+                database=database,
+                configuration_version=self._route_table.version,
+                configuration_age_seconds=self._find_configuration_age(now),
+            )
             emissions.append(Emission("events", event))
             emissions.append(Emission("refused", refused))
         return emissions
--- a/src/sardinemill/sessions/refusals.py
+++ b/src/sardinemill/sessions/refusals.py
@@ -47,12 +47,20 @@
 
 
 def make_refusal_event(
-    refused: MessageRefused, *, workspace: str, database: str
+    refused: MessageRefused,
+    *,
+    workspace: str,
+    database: str,
+    configuration_version: int,
+    configuration_age_seconds: float | None,
 ) -> Event:
     """Return the event of a refusal.
 
     :param workspace: of the session, empty if not known.
     :param database: name of the route, empty if there is no such route.
+    :param configuration_version: in force, 0 if there is none.
+    :param configuration_age_seconds: time since that version was proved to be the
+        newest one, ``None`` if it never was.
     """
     fields = {
         "request_id": refused.statement_id,
@@ -63,5 +71,7 @@
         "reason": refused.reason,
         "verb": refused.digest.verb,
         "n_bytes": refused.digest.n_bytes,
+        "configuration_version": configuration_version,
+        "configuration_age_seconds": configuration_age_seconds,
     }
     return Event(EventName.MESSAGE_REFUSED, fields)
--- a/src/sardinemill/sessions/routes.py
+++ b/src/sardinemill/sessions/routes.py
@@ -177,3 +177,16 @@
     """A newer version of the configuration is in force."""
 
     table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesConfirmed:
+    """The configuration in force was the newest one at a point in time.
+
+    :param version: in force.
+    :param confirmed_at: on the local clock; the store had acknowledged no higher
+        version by then.
+    """
+
+    version: int
+    confirmed_at: float
--- a/src/sardinemill/telemetry.py
+++ b/src/sardinemill/telemetry.py
@@ -51,6 +51,9 @@
     LIVE_INSTANCES = MetricKind("gauge", "{instance}", "Instances that take new work.")
     LEAVING_INSTANCES = MetricKind("gauge", "{instance}", "Instances that drain.")
     CONFIGURATION_VERSION = MetricKind("gauge", "1", "Configuration in force.")
+    CONFIGURATION_AGE_SECONDS = MetricKind(
+        "gauge", "s", "Age of the proof that no newer configuration exists, on arrival."
+    )
     CONFIRMED_AGE_SECONDS = MetricKind(
         "gauge", "s", "Age of the confirmation when it arrived."
     )
@@ -87,6 +90,7 @@
 # Metrics of instances that serve sessions; all others are those of HTTP instances.
 SESSION_METRICS = frozenset(
     {
+        Metric.CONFIGURATION_AGE_SECONDS,
         Metric.RECORD_ERA,
         Metric.STATEMENTS,
         Metric.STATEMENT_SECONDS,
--- /dev/null
+++ b/tests/test_configuration_evidence.py
@@ -0,0 +1,126 @@
+"""Proof that the configuration in force is the newest one, and what it decides."""
+
+from sardinemill.adapters.clocks import SeededRandom
+from sardinemill.control import PeerEnvelope
+from sardinemill.events import Event, EventName
+from sardinemill.fleet.configuration_evidence import ConfigurationEvidence
+from sardinemill.fleet.messages import FleetAnswer, FleetQuestion
+from sardinemill.fleet.records import FleetRecord
+from sardinemill.fleet.state import FleetState
+from sardinemill.fleet.store_messages import ConfigurationRead, RecordRead
+from sardinemill.fleet.views import Identity
+from sardinemill.groups import Address
+from sardinemill.sessions.manager import SessionManager
+from sardinemill.sessions.messages import SessionOpened
+from sardinemill.sessions.routes import RoutesConfirmed
+from session_builders import (
+    KEY,
+    make_configuration,
+    make_coordinator,
+    make_routes_changed,
+    select,
+)
+
+NOW = 100.0
+
+
+def list_events(emissions, *names):
+    """Return the events of some names."""
+    events = select(emissions, "events", Event)
+    return [item for item in events if item.name in names]
+
+
+def make_state(coordinators=("b",)):
+    """Return the state of an instance that knows the coordinators."""
+    identity = Identity(
+        name="a", data_centre="x", address=Address("10.0.0.1", 7000), incarnation="1"
+    )
+    state = FleetState(identity, SeededRandom(1))
+    record = FleetRecord(coordinators=tuple(map(make_coordinator, coordinators)))
+    state.handle(RecordRead(record, 4, NOW), NOW)
+    return state
+
+
+def answer(state, now, **fields):
+    """Let coordinator ``b`` answer the next question.
+
+    :param now: when the answer arrives, 0.1 s after its question.
+    :returns: the time of the question and the emissions of the answer.
+    """
+    asked_at = now - 0.1
+    emissions = state.tick(asked_at)
+    (question,) = (
+        item.message
+        for item in select(emissions, "peers", PeerEnvelope)
+        if isinstance(item.message, FleetQuestion)
+    )
+    message = FleetAnswer(
+        number=question.number,
+        incarnation="1",
+        record_revision=4,
+        record_age_seconds=0.1,
+        **fields,
+    )
+    return asked_at, state.handle(PeerEnvelope(peer="b", message=message), now)
+
+
+def test_staleness_is_logged_once_and_so_is_its_end():
+    """Guards against a stale configuration that no log line shows."""
+    evidence = ConfigurationEvidence(limit_seconds=3.0)
+    assert evidence.check(0, NOW) == []
+    evidence.record(7, NOW, "b", NOW)
+    assert evidence.check(7, NOW + 3.0) == []
+    (event,) = list_events(evidence.check(7, NOW + 3.1), EventName.CONFIGURATION_STALE)
+    assert event.fields["source"] == "b"
+    assert evidence.check(7, NOW + 4.0) == []
+    emissions = evidence.record(7, NOW + 3.5, "store", NOW + 4.1)
+    assert list_events(emissions, EventName.CONFIGURATION_CONFIRMED)
+
+
+def test_older_proof_does_not_replace_newer_proof():
+    """Guards against ages that jump back when a slow answer arrives."""
+    evidence = ConfigurationEvidence()
+    assert select(evidence.record(7, NOW, "b", NOW), "evidence", RoutesConfirmed)
+    assert evidence.record(7, NOW - 1.0, "c", NOW) == []
+
+
+def test_adoption_tells_source_and_age():
+    """Guards against logs that do not tell how a version reached an instance."""
+    state = make_state()
+    read = ConfigurationRead(make_configuration(version=1), NOW - 0.2)
+    (adopted,) = list_events(state.handle(read, NOW), EventName.CONFIGURATION_ADOPTED)
+    assert (adopted.fields["source"], adopted.fields["age_seconds"]) == ("store", 0.2)
+    configuration = make_configuration(version=2)
+    asked_at, emissions = answer(
+        state,
+        NOW + 1.0,
+        configuration=configuration,
+        configuration_version=2,
+        configuration_age_seconds=0.5,
+    )
+    (adopted,) = list_events(emissions, EventName.CONFIGURATION_ADOPTED)
+    assert adopted.fields["source"] == "b"
+    assert adopted.fields["previous_version"] == 1
+    (confirmed,) = select(emissions, "evidence", RoutesConfirmed)
+    assert confirmed == RoutesConfirmed(2, asked_at - 0.5)
+
+
+def test_answer_about_another_version_is_no_proof():
+    """Guards against a copy that counts as current because another one is."""
+    state = make_state()
+    state.handle(ConfigurationRead(make_configuration(version=2), NOW), NOW)
+    _, emissions = answer(
+        state, NOW + 1.0, configuration_version=1, configuration_age_seconds=0.0
+    )
+    assert not select(emissions, "evidence", RoutesConfirmed)
+
+
+def test_refusal_tells_how_old_the_configuration_is():
+    """Guards against refusals whose cause the logs do not show."""
+    manager = SessionManager()
+    manager.handle(make_routes_changed(version=7), NOW)
+    manager.handle(RoutesConfirmed(7, NOW), NOW)
+    emissions = manager.handle(SessionOpened(1, "nowhere", KEY), NOW + 1.5)
+    (event,) = list_events(emissions, EventName.SESSION_REFUSED)
+    assert event.fields["configuration_version"] == 7
+    assert event.fields["configuration_age_seconds"] == 1.5
--- a/tests/test_session_composition.py
+++ b/tests/test_session_composition.py
@@ -99,8 +99,10 @@
     """Guards against a revoked key that stays valid while its client is connected."""
 
     async def scenario(cluster):
+        # The instance may not know the primary yet.
+        await cluster.ask_until("WRITE d one", "DONE", instance="i1")
         client, _ = await cluster.connect(instance="i1")
-        assert (await client.ask("WRITE d one"))[0].startswith("DONE")
+        assert (await client.ask("WRITE d two"))[0].startswith("DONE")
         cluster.store.put("config", "main", make_document(version=2, keys=("other",)))
         answer = await client.ask("READ d")
         while not answer[0].startswith("ERROR DENIED"):
