--- a/tests/session_cluster.py
+++ b/tests/session_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import time
 
@@ -124,9 +125,18 @@
 
     :param n_connections: connection limit of each database.
     :param timeout_ms: time limit of a statement.
+    :param configuration_limit_seconds: time within which a configuration has to be in
+        force.
     """
 
-    def __init__(self, n_instances=2, n_connections=49, timeout_ms=1000):
+    def __init__(
+        self,
+        n_instances=2,
+        n_connections=49,
+        timeout_ms=1000,
+        configuration_limit_seconds=math.inf,
+    ):
+        self._configuration_limit_seconds = configuration_limit_seconds
         self._n_connections = n_connections
         self._timeout_ms = timeout_ms
         self._ports = PortReservations()
@@ -228,6 +238,7 @@
             promotion_address=self.store.address,
             stop_seconds=2.0,
             leave_seconds=7.0,
+            configuration_limit_seconds=self._configuration_limit_seconds,
         )
         self._n_starts += 1
         instance = make_instance(settings, self.events, f"{name}-{self._n_starts}")
@@ -281,11 +292,11 @@
             await asyncio.sleep(0.1)
 
 
-def run_in_cluster(scenario, n_instances=2, n_connections=49, timeout_ms=1000):
-    """Run a scenario on a new cluster."""
+def run_in_cluster(scenario, **parameters):
+    """Run a scenario on a new cluster; see :class:`SessionCluster`."""
 
     async def run():
-        cluster = SessionCluster(n_instances, n_connections, timeout_ms)
+        cluster = SessionCluster(**parameters)
         try:
             await cluster.start()
             await scenario(cluster)
--- a/tests/test_session_composition.py
+++ b/tests/test_session_composition.py
@@ -18,7 +18,7 @@
     RunningForwards,
 )
 from sardinemill.sessions.messages import SessionState
-from session_cluster import Events, make_document, run_in_cluster
+from session_cluster import KEY, Events, make_document, run_in_cluster
 from test_platform_clients import (
     connect_socket,
     make_answer,
@@ -117,6 +117,26 @@
     run_in_cluster(scenario)
 
 
+def test_new_key_is_not_unknown_to_an_instance_that_cannot_learn_of_it():
+    """Guards against a refusal as an older configuration says, after the time in which
+    the newer one has to be in force.
+    """
+
+    async def scenario(cluster):
+        cluster.store.is_down = True
+        document = make_document(version=2, keys=(KEY, "new"))
+        cluster.store.put("config", "main", document)
+        await asyncio.sleep(1.2)
+        _, opened = await cluster.connect(key="new")
+        assert opened[0].startswith("ERROR BUSY")
+        cluster.store.is_down = False
+        while not opened[0].startswith("READY"):
+            await asyncio.sleep(0.1)
+            _, opened = await cluster.connect(key="new")
+
+    run_in_cluster(scenario, n_instances=1, configuration_limit_seconds=1.0)
+
+
 def test_dead_primary_is_replaced_and_writes_go_on():
     """Guards against a missing failover, and against two promotions in one failover."""
 
