--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -337,7 +337,8 @@
             "token lender", TokenLender(identity.name, tolerance)
         )
         session_manager = self._make_stage(
-            "session manager", SessionManager(client_limits.state_bytes)
+            "session manager",
+            SessionManager(client_limits.state_bytes, configuration_limit_seconds),
         )
         admission = self._make_stage("admission", Admission(identity.name, tolerance))
         placement = self._make_stage(
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -55,6 +55,9 @@
 # Memory of an entry besides its texts.
 ENTRY_BYTES = 200
 NEVER = float("-inf")
+# Codes that say that something is missing in the newest configuration.
+ABSENCE_CODES = (ErrorCode.NO_DATABASE, ErrorCode.ACCESS_DENIED)
+UNCONFIRMED_MESSAGE = "the configuration may be outdated; retry after 0.5 s"
 STOPPING_MESSAGE = "the instance is stopping; retry on another connection"
 
 
@@ -106,9 +109,16 @@
     (:class:`TransactionAbandoned`), ``refused`` (:class:`MessageRefused`), ``events``.
 
     :param state_bytes: limit of the variables and prepared statements of all sessions.
+    :param configuration_limit_seconds: time within which a configuration has to be in
+        force after its acknowledgement.
     """
 
-    def __init__(self, state_bytes: int = DEFAULT_CLIENT_LIMITS.state_bytes) -> None:
+    def __init__(
+        self,
+        state_bytes: int = DEFAULT_CLIENT_LIMITS.state_bytes,
+        configuration_limit_seconds: float = math.inf,
+    ) -> None:
+        self._configuration_limit_seconds = configuration_limit_seconds
         self._state_budget = SessionStateBudget(state_bytes)
         self._route_table = EMPTY_ROUTE_TABLE
         self._routes_confirmed_at = NEVER
@@ -247,7 +257,7 @@
             # A session that is opened and closed at once may already have sent a write.
             refusal = (ErrorCode.BUSY, STOPPING_MESSAGE)
         if refusal is not None:
-            code, text = refusal
+            code, text = self._qualify_refusal(refusal, now)
             refused = SessionRefused(message.session_id, code, text)
             fields = {
                 "session": message.session_id,
@@ -321,6 +331,19 @@
         age = now - self._routes_confirmed_at
         return round(age, 3) if math.isfinite(age) else None
 
+    def _qualify_refusal(
+        self, refusal: tuple[ErrorCode, str], now: float
+    ) -> tuple[ErrorCode, str]:
+        """Return the refusal of an unknown database or key that is proved.
+
+        A version that has to be in force by now may hold the database or the key. With
+        a proof that is older than the limit, the caller is told to retry instead.
+        """
+        is_proved = now - self._routes_confirmed_at <= self._configuration_limit_seconds
+        if is_proved or refusal[0] not in ABSENCE_CODES:
+            return refusal
+        return ErrorCode.BUSY, UNCONFIRMED_MESSAGE
+
     def _report_refusals(
         self, refusals: Sequence[MessageRefused], now: float
     ) -> list[Emission]:
@@ -360,7 +383,7 @@
                 _make_refusal(session, ErrorCode.MALFORMED, "the transaction failed")
             ]
         if kind is StatementKind.BEGIN:
-            return [self._begin_transaction(session, message.statement)]
+            return [self._begin_transaction(session, message.statement, now)]
         if is_end:
             return self._end_transaction(session, message, now)
         if kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE):
@@ -388,13 +411,15 @@
             return _make_refusal(session, ErrorCode.MALFORMED, "not a statement")
         return _make_success(session)
 
-    def _begin_transaction(self, session: _Session, statement: Statement) -> Emission:
+    def _begin_transaction(
+        self, session: _Session, statement: Statement, now: float
+    ) -> Emission:
         if session.transaction is not None:
             return _make_refusal(session, ErrorCode.MALFORMED, "a transaction is open")
         resolved, refusal = self._resolve_route(session.database, session.key)
         if resolved is None:
             assert refusal is not None
-            return _make_refusal(session, *refusal)
+            return _make_refusal(session, *self._qualify_refusal(refusal, now))
         route, workspace = resolved
         session.transaction = _Transaction(route, workspace, statement.is_read_only)
         return _make_success(session)
@@ -442,9 +467,9 @@
         transaction = session.transaction
         if resolved is None:
             assert refusal is not None
-            code, text = refusal
             # A removed route still serves the transactions that began on it.
-            if transaction is None or code is not ErrorCode.NO_DATABASE:
+            if transaction is None or refusal[0] is not ErrorCode.NO_DATABASE:
+                code, text = self._qualify_refusal(refusal, now)
                 return self._refuse_and_abort(session, code, text)
         if transaction is None:
             assert resolved is not None
--- a/tests/test_configuration_evidence.py
+++ b/tests/test_configuration_evidence.py
@@ -1,5 +1,7 @@
 """Proof that the configuration in force is the newest one, and what it decides."""
 
+import pytest
+
 from sardinemill.adapters.clocks import SeededRandom
 from sardinemill.control import PeerEnvelope
 from sardinemill.events import Event, EventName
@@ -11,17 +13,30 @@
 from sardinemill.fleet.views import Identity
 from sardinemill.groups import Address
 from sardinemill.sessions.manager import SessionManager
-from sardinemill.sessions.messages import SessionOpened
+from sardinemill.sessions.messages import (
+    ErrorCode,
+    SessionAccepted,
+    SessionOpened,
+    SessionRefused,
+    SessionState,
+    StatementAnswered,
+    StatementReceived,
+    StatementRequest,
+)
 from sardinemill.sessions.routes import RoutesConfirmed
 from session_builders import (
+    BEGIN,
     KEY,
+    READ,
     make_configuration,
     make_coordinator,
+    make_route,
     make_routes_changed,
     select,
 )
 
 NOW = 100.0
+LIMIT_SECONDS = 3.0
 
 
 def list_events(emissions, *names):
@@ -124,3 +139,66 @@
     (event,) = list_events(emissions, EventName.SESSION_REFUSED)
     assert event.fields["configuration_version"] == 7
     assert event.fields["configuration_age_seconds"] == 1.5
+
+
+def make_manager(**fields):
+    """Return a session manager whose configuration was the newest one at ``NOW``."""
+    manager = SessionManager(configuration_limit_seconds=LIMIT_SECONDS)
+    manager.handle(make_routes_changed(**fields), NOW)
+    manager.handle(RoutesConfirmed(1, NOW), NOW)
+    return manager
+
+
+@pytest.mark.parametrize(
+    ("database", "key", "code"),
+    [
+        ("nowhere", KEY, ErrorCode.NO_DATABASE),
+        ("bookings", "unknown", ErrorCode.ACCESS_DENIED),
+    ],
+)
+def test_session_is_refused_as_unknown_only_with_proof(database, key, code):
+    """Guards against a database or a key that is refused as an older version says."""
+    manager = make_manager()
+    opened = SessionOpened(1, database, key)
+    in_time = manager.handle(opened, NOW + LIMIT_SECONDS)
+    assert select(in_time, "client", SessionRefused)[0].code is code
+    late = manager.handle(opened, NOW + LIMIT_SECONDS + 0.01)
+    assert select(late, "client", SessionRefused)[0].code is ErrorCode.BUSY
+    manager.handle(RoutesConfirmed(1, NOW + LIMIT_SECONDS), NOW + LIMIT_SECONDS + 0.1)
+    proved = manager.handle(opened, NOW + LIMIT_SECONDS + 0.2)
+    assert select(proved, "client", SessionRefused)[0].code is code
+
+
+@pytest.mark.parametrize("statement", [READ, BEGIN])
+def test_statement_is_refused_as_unknown_only_with_proof(statement):
+    """Guards against open sessions that are refused as an older version says."""
+    manager = make_manager()
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    manager.handle(make_routes_changed(version=2, keys=("other",)), NOW)
+    received = StatementReceived(1, "5c0e7a21d94b36f8", statement)
+    for age, code in (
+        (LIMIT_SECONDS, ErrorCode.ACCESS_DENIED),
+        (LIMIT_SECONDS + 0.01, ErrorCode.BUSY),
+    ):
+        emissions = manager.handle(received, NOW + age)
+        (answered,) = select(emissions, "client", StatementAnswered)
+        assert (answered.code, answered.state) == (code, SessionState.IDLE)
+
+
+def test_removed_route_serves_its_open_transactions_without_proof():
+    """Guards against a transaction that ends because the store is silent."""
+    manager = make_manager()
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    manager.handle(StatementReceived(1, "5c0e7a21d94b36f8", BEGIN), NOW)
+    routes = (make_route("other"),)
+    manager.handle(make_routes_changed(version=2, routes=routes), NOW)
+    read = StatementReceived(1, "6c0e7a21d94b36f8", READ)
+    emissions = manager.handle(read, NOW + LIMIT_SECONDS + 1.0)
+    assert select(emissions, "next", StatementRequest)
+
+
+def test_known_key_is_served_without_proof():
+    """Guards against an outage of the store that ends the service."""
+    manager = make_manager()
+    opened = SessionOpened(1, "bookings", KEY)
+    assert select(manager.handle(opened, NOW + 60.0), "client", SessionAccepted)
