--- a/src/sardinemill/platform/http.py
+++ b/src/sardinemill/platform/http.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import h11
@@ -17,6 +17,9 @@
 from .sockets import set_keep_alive
 
 READ_SIZE_BYTES = 65536
+# A read on a reused connection that is not answered by then is also sent on a new one,
+# since connections can go silent for good. A slow store answers in about 0.25 s.
+SECOND_ATTEMPT_DELAY_SECONDS = 0.5
 # A client of the server that sends no request for this time is disconnected.
 IDLE_TIMEOUT_SECONDS = 30.0
 
@@ -41,6 +44,19 @@
     headers: Mapping[str, str] = field(default_factory=dict, compare=False)
 
 
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """Request of a client.
+
+    :param target: path and query.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = field(repr=False)
+
+
 class _ClientConnection:
     """Open connection; owns the socket."""
 
@@ -60,18 +76,18 @@
         """Close the socket."""
         self._writer.close()
 
-    async def request(
-        self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> HttpAnswer:
+    async def request(self, request: _Request) -> HttpAnswer:
         """Send a request and read the whole answer.
 
         :raises OSError: when the connection fails.
         :raises h11.ProtocolError: when the answer is incomplete or malformed.
         """
-        head = h11.Request(method=method, target=target, headers=headers)
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
         data = self._protocol.send(head) or b""
-        if body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
+        if request.body:
+            data += self._protocol.send(h11.Data(data=request.body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         status, parts, fields = 0, [], {}
@@ -141,38 +157,54 @@
         try:
             fields = [(name.encode(), value.encode()) for name, value in texts]
             async with asyncio.timeout(timeout_seconds):
-                return await self._request(method, target, fields, data)
+                return await self._request(_Request(method, target, fields, data))
         except (OSError, TimeoutError, UnicodeEncodeError, h11.ProtocolError) as error:
             raise HttpError(
                 type(error).__name__, step=method, peer=str(self._address)
             ) from error
 
-    async def _request(
-        self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> HttpAnswer:
+    async def _request(self, request: _Request) -> HttpAnswer:
         connection = self._take_idle()
-        if connection is not None:
-            try:
-                return await self._use(connection, method, target, headers, body)
-            except (OSError, h11.ProtocolError):
-                # The server may have closed it meanwhile. Only a read may be repeated,
-                # since the server may have acted on the request.
-                if method != "GET":
-                    raise
-        connection = await self._connect()
-        return await self._use(connection, method, target, headers, body)
+        if connection is None:
+            return await self._use_new(request)
+        if request.method != "GET":
+            # Not repeated, since the server may have acted on it.
+            return await self._use(connection, request)
+        return await self._read(connection, request)
+
+    async def _read(
+        self, connection: _ClientConnection, request: _Request
+    ) -> HttpAnswer:
+        """Read on a reused connection, and on a new one if that fails or takes long.
+
+        :raises OSError: when both attempts fail.
+        :raises h11.ProtocolError: likewise.
+        """
+        first = asyncio.create_task(self._use(connection, request))
+        attempts = [first]
+        try:
+            await asyncio.wait(attempts, timeout=SECOND_ATTEMPT_DELAY_SECONDS)
+            if not first.done():
+                # The idle connections may have gone silent at the same time.
+                self.close()
+            if not first.done() or first.exception() is not None:
+                attempts.append(asyncio.create_task(self._use_new(request)))
+            return await _wait_for_answer(attempts)
+        finally:
+            # An attempt that is not needed any more closes its connection.
+            for attempt in attempts:
+                attempt.cancel()
+            await asyncio.gather(*attempts, return_exceptions=True)
+
+    async def _use_new(self, request: _Request) -> HttpAnswer:
+        return await self._use(await self._connect(), request)
 
     async def _use(
-        self,
-        connection: _ClientConnection,
-        method: str,
-        target: str,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
+        self, connection: _ClientConnection, request: _Request
     ) -> HttpAnswer:
         """Run a request on a connection and keep or close the connection."""
         try:
-            answer = await connection.request(method, target, headers, body)
+            answer = await connection.request(request)
         except BaseException:
             connection.close()
             raise
@@ -199,6 +231,17 @@
         return _ClientConnection(reader, writer)
 
 
+async def _wait_for_answer(attempts: Sequence[asyncio.Task[HttpAnswer]]) -> HttpAnswer:
+    """Return the first answer, or raise the error of the last attempt."""
+    pending = set(attempts)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            if attempt.exception() is None:
+                return attempt.result()
+    return attempts[-1].result()
+
+
 class HttpServer:
     """Serves GET requests on one address; one task per connection owns its socket.
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -101,6 +101,45 @@
     asyncio.run(run())
 
 
+def test_read_passes_connections_that_have_gone_silent():
+    """Guards against reads that take their whole time-out on each connection on which
+    nothing arrives any more, while new ones work.
+    """
+
+    async def run():
+        writers, silent = [], set()
+        are_all_used = asyncio.Event()
+        n_requests = 0
+
+        async def serve(reader, writer):
+            nonlocal n_requests
+            writers.append(writer)
+            if len(writers) == 3:
+                are_all_used.set()
+            while await reader.read(1000):
+                n_requests += 1
+                await are_all_used.wait()
+                if writer not in silent:
+                    writer.write(ANSWER)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(Address("127.0.0.1", port), 1.0)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(3):
+                group.create_task(client.request("GET", "/x", timeout_seconds=5))
+        silent.update(writers)
+        for _ in range(2):
+            answer = await client.request("GET", "/x", timeout_seconds=5)
+            assert answer.status == 200
+        # One on a silent connection, and none on the other two.
+        assert n_requests == 3 + 1 + 2
+        client.close()
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_write_is_not_repeated():
     """Guards against a conditional write that takes effect twice."""
 
