--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -289,3 +289,76 @@
             await asyncio.wait_for(two.stop(), 5.0)
 
     asyncio.run(run())
+
+
+class SilencingProxy:
+    """Forwards TCP connections to an address until they go silent.
+
+    A silent connection stays open for the receiver, but nothing arrives on it any more.
+
+    :ivar last_chunk: last bytes sent by the side that connected.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._connections = []
+        self._n_silent = 0
+        self.last_chunk = b""
+
+    async def start(self):
+        """Listen and return the address."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+    def silence(self):
+        """Make the connections that are open now silent."""
+        self._n_silent = len(self._connections)
+
+    async def _serve(self, reader, writer):
+        number = len(self._connections)
+        host, port = self._target.host, self._target.port
+        near, far = (reader, writer), await asyncio.open_connection(host, port)
+        self._connections.append((near, far))
+        await asyncio.gather(
+            self._forward(number, near, far), self._forward(number, far, near)
+        )
+
+    async def _forward(self, number, source, target):
+        while (data := await source[0].read(65536)) and number >= self._n_silent:
+            if source is self._connections[number][0]:
+                self.last_chunk = data
+            target[1].write(data)
+
+
+def test_replies_arrive_after_their_connection_went_silent():
+    """Guards against a receiver that ignores all messages of a peer which connects
+    again, because it still holds the connection that went silent.
+    """
+
+    async def run():
+        fleet = ZmqFleet()
+        first, _, first_info = await fleet.start_link("a")
+        second, received, second_info = await fleet.start_link("b")
+        proxy = SilencingProxy(second_info.peer_address)
+        first.set_peers([make_info("b", peer_address=await proxy.start())])
+        second.set_peers([first_info])
+
+        async def send_reply():
+            message = make_heartbeat("a", info=first_info)
+            first.offer(PeerEnvelope(peer="b", message=message))
+            await asyncio.sleep(0.05)
+
+        while b"PING" not in proxy.last_chunk:
+            await send_reply()
+        # The receiver closes a connection only when a ping was the last it got.
+        while b"PING" in proxy.last_chunk:
+            await send_reply()
+        proxy.silence()
+        await send_reply()
+        while not received.empty():
+            received.get_nowait()
+        while received.empty():
+            await send_reply()
+        await asyncio.gather(first.stop(), second.stop())
+
+    asyncio.run(asyncio.wait_for(run(), 30))
