--- a/src/sardinemill/adapters/peer_connection.py
+++ b/src/sardinemill/adapters/peer_connection.py
@@ -13,6 +13,9 @@
 SEND_QUEUE_LENGTH = 10_000
 RECONNECT_DELAY_SECONDS = 0.1
 MAX_RECONNECT_DELAY_SECONDS = 1.0
+# ZeroMQ starts an attempt to connect anew after this time. The kernel alone sends an
+# unanswered SYN again after 1, 3, 7 and 15 s, long after a partition has ended.
+CONNECT_ATTEMPT_SECONDS = 1.0
 # Messages are kept this long for a new connection; after that they are dropped at once,
 # because a peer that returns would otherwise get requests that have long timed out.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -96,6 +99,7 @@
             zmq.HEARTBEAT_TIMEOUT: ping_timeout_seconds,
             # The receiver closes the connection when it gets no ping for this time.
             zmq.HEARTBEAT_TTL: ping_interval_seconds + ping_timeout_seconds,
+            zmq.CONNECT_TIMEOUT: CONNECT_ATTEMPT_SECONDS,
             zmq.RECONNECT_IVL: RECONNECT_DELAY_SECONDS,
             zmq.RECONNECT_IVL_MAX: MAX_RECONNECT_DELAY_SECONDS,
         }
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -362,3 +362,21 @@
         await asyncio.gather(first.stop(), second.stop())
 
     asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def test_attempts_to_connect_are_short():
+    """Guards against a link that comes back only when the kernel sends its unanswered
+    SYN again, up to 8 s after a partition of 12 s.
+    """
+
+    async def run():
+        link, _, info = await ZmqFleet().start_link("a")
+        other = make_info("b", peer_address=link.address)
+        link.set_peers([info, other])
+        link.offer(PeerEnvelope(peer="b", message=make_heartbeat("a")))
+        await wait_until(lambda: link.n_connections)
+        connection = link._connections["b"]
+        assert 0 < connection._socket.getsockopt(zmq.CONNECT_TIMEOUT) <= 1000
+        await link.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 30))
