--- a/src/sardinemill/adapters/peers.py
+++ b/src/sardinemill/adapters/peers.py
@@ -138,8 +138,8 @@
         self._context = zmq.Context()
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.LINGER, 0)
-        # A peer that connects again takes its routing id over from a connection that has
-        # gone silent; otherwise all its further messages are ignored.
+        # A peer that connects again takes its routing id over from a connection that
+        # has gone silent; otherwise all its further messages are ignored.
         router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         router.setsockopt(zmq.RCVHWM, self._send_queue_length)
         router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
--- a/src/sardinemill/fleet/questions.py
+++ b/src/sardinemill/fleet/questions.py
@@ -2,10 +2,13 @@
 
 from dataclasses import dataclass
 
+import xxhash
+
 from ..groups import Address
 from ..members import InstanceInfo
 from .gateway_table import GatewayCandidate
 from .messages import FleetQuestion, Introduction
+from .views import Identity
 
 # An instance that sent no question for this time no longer counts as part of the
 # fleet, and an answer that takes longer is discarded.
@@ -14,6 +17,8 @@
 # asked every 0.8 s at least.
 GATEWAY_TIMEOUT_SECONDS = 2.0
 NEVER = float("-inf")
+# Below it, messages stay as short for hours as with small numbers.
+N_FIRST_NUMBERS = 2**15
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,10 +50,13 @@
 
 
 class OutgoingQuestions:
-    """Questions that this instance sent."""
+    """Questions that this instance sent.
 
-    def __init__(self) -> None:
-        self._n_questions = 0
+    :param first_number: number before that of the first question.
+    """
+
+    def __init__(self, first_number: int = 0) -> None:
+        self._n_questions = first_number
         self._pending: dict[int, _PendingQuestion] = {}
         self._positions_synced_at: dict[str, float] = {}
         self._last_numbers: dict[str, int] = {}
@@ -100,6 +108,15 @@
         }
 
 
+def choose_first_number(identity: Identity) -> int:
+    """Return the number from which a process numbers its questions.
+
+    It differs between processes with the same name, so that a late answer to the one
+    before matches no question.
+    """
+    return xxhash.xxh32_intdigest(identity.incarnation.encode()) % N_FIRST_NUMBERS
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Peer:
     """Instance that sent questions to this one.
--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -39,7 +39,12 @@
     find_unanimous_confirmation_time,
 )
 from .question_schedule import MAX_EVIDENCE_AGE_SECONDS, QuestionSchedule
-from .questions import IncomingQuestions, OutgoingQuestions, make_instance_info
+from .questions import (
+    IncomingQuestions,
+    OutgoingQuestions,
+    choose_first_number,
+    make_instance_info,
+)
 from .record_merge import VersionedRecord
 from .record_writer import RecordWriter
 from .records import Directory, FleetRecord
@@ -125,7 +130,7 @@
         self._cache = ConfigurationCache()
         self._evidence = ConfigurationEvidence(configuration_limit_seconds)
         self._confirmations: dict[str, CoordinatorConfirmation] = {}
-        self._outgoing = OutgoingQuestions()
+        self._outgoing = OutgoingQuestions(choose_first_number(identity))
         self._incoming = IncomingQuestions()
         self._schedule = QuestionSchedule(identity)
         self._gateways = GatewayAssignment()
--- a/tests/test_configuration_evidence.py
+++ b/tests/test_configuration_evidence.py
@@ -130,6 +130,28 @@
     assert not select(emissions, "evidence", RoutesConfirmed)
 
 
+def test_answer_to_the_process_before_is_no_proof():
+    """Guards against a copy that counts as current because an answer to the process
+    before, with the number of a later question, is delivered after a restart.
+    """
+    questions = []
+    for seed in (1, 2):
+        identity = Identity(
+            name="a",
+            data_centre="x",
+            address=Address("10.0.0.1", 7000),
+            incarnation=str(seed),
+        )
+        state = FleetState(identity, SeededRandom(seed))
+        record = FleetRecord(coordinators=(make_coordinator("b"),))
+        state.handle(RecordRead(record, 4, NOW), NOW)
+        for step in range(20):
+            envelopes = select(state.tick(NOW + step), "peers", PeerEnvelope)
+            questions.append((seed, envelopes[0].message.number))
+    numbers = [number for _, number in questions]
+    assert len(set(numbers)) == len(numbers)
+
+
 def test_refusal_tells_how_old_the_configuration_is():
     """Guards against refusals whose cause the logs do not show."""
     manager = SessionManager()
