--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -689,6 +689,9 @@
     ) -> list[Emission]:
         """Record that the known configuration was the newest one at some time."""
         self._read_scheduler.record_current(CONFIGURATION, at)
+        if self._era.is_settling(at):
+            # The store may hold an older version than it has acknowledged.
+            return []
         version = self._cache.configuration.version
         return self._evidence.record(version, at, source, now)
 
--- a/tests/test_configuration_evidence.py
+++ b/tests/test_configuration_evidence.py
@@ -9,6 +9,7 @@
 from sardinemill.fleet.messages import FleetAnswer, FleetQuestion
 from sardinemill.fleet.records import FleetRecord
 from sardinemill.fleet.state import FleetState
+from sardinemill.fleet.store_era import DIRECTORY_SETTLE_SECONDS
 from sardinemill.fleet.store_messages import ConfigurationRead, RecordRead
 from sardinemill.fleet.views import Identity
 from sardinemill.groups import Address
@@ -130,6 +131,25 @@
     assert not select(emissions, "evidence", RoutesConfirmed)
 
 
+def test_copy_of_a_returned_store_is_no_proof_until_operators_have_written_again():
+    """Guards against refusals by the older version that a store holds just after its
+    return from a copy.
+    """
+    state = make_state()
+
+    def read(version, asked_at, era):
+        configuration = make_configuration(version=version)
+        message = ConfigurationRead(configuration, asked_at, era=era)
+        return select(state.handle(message, asked_at), "evidence", RoutesConfirmed)
+
+    assert read(2, NOW, era=1)
+    returned_at = NOW + 1.0
+    assert not read(1, returned_at, era=2)
+    assert not read(1, returned_at + DIRECTORY_SETTLE_SECONDS - 0.1, era=2)
+    settled_at = returned_at + DIRECTORY_SETTLE_SECONDS
+    assert read(3, settled_at, era=2) == [RoutesConfirmed(3, settled_at)]
+
+
 def test_answer_to_the_process_before_is_no_proof():
     """Guards against a copy that counts as current because an answer to the process
     before, with the number of a later question, is delivered after a restart.
