--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -545,6 +545,9 @@
         if session is not None and session.current_request is not request:
             # The end of the drain has answered and logged it.
             return ()
+        if result.code is not None and not result.database:
+            code, text = self._qualify_refusal((result.code, result.message), now)
+            result = replace(result, code=code, message=text)
         emissions = self._emit_result_event(result, now)
         if session is None:
             # The client disconnected while its statement was queued; the statement may
--- a/tests/test_configuration_evidence.py
+++ b/tests/test_configuration_evidence.py
@@ -23,6 +23,7 @@
     StatementAnswered,
     StatementReceived,
     StatementRequest,
+    StatementResult,
 )
 from sardinemill.sessions.routes import RoutesConfirmed
 from session_builders import (
@@ -244,3 +245,21 @@
     manager = make_manager()
     opened = SessionOpened(1, "bookings", KEY)
     assert select(manager.handle(opened, NOW + 60.0), "client", SessionAccepted)
+
+
+@pytest.mark.parametrize(
+    ("database", "code"), [("", ErrorCode.BUSY), ("p", ErrorCode.ACCESS_DENIED)]
+)
+def test_denial_without_a_database_needs_proof(database, code):
+    """Guards against a key whose workspace had an unusable name in an older version,
+    and against a database's answer that is replaced.
+    """
+    manager = make_manager()
+    manager.handle(SessionOpened(1, "bookings", KEY), NOW)
+    read = StatementReceived(1, "5c0e7a21d94b36f8", READ)
+    (request,) = select(manager.handle(read, NOW), "next", StatementRequest)
+    result = StatementResult(
+        request=request, code=ErrorCode.ACCESS_DENIED, database=database
+    )
+    emissions = manager.handle(result, NOW + LIMIT_SECONDS + 0.1)
+    assert select(emissions, "client", StatementAnswered)[0].code is code
