--- a/src/sardinemill/fleet/configuration_evidence.py
+++ b/src/sardinemill/fleet/configuration_evidence.py
@@ -4,7 +4,7 @@
 
 from ..events import Event, EventName
 from ..interfaces import Emission
-from ..sessions.routes import RoutesConfirmed
+from ..sessions.routes import RoutesConfirmed, RoutesStalenessChanged
 
 NEVER = float("-inf")
 
@@ -40,7 +40,7 @@
     def check(self, version: int, now: float) -> list[Emission]:
         """Report when the evidence begins or ceases to be older than the limit.
 
-        :returns: messages for ``events``.
+        :returns: messages for ``evidence`` and ``events``.
         """
         age = now - self._confirmed_at
         is_stale = version > 0 and age > self._limit_seconds
@@ -55,4 +55,7 @@
             "configuration_age_seconds": round(age, 3) if math.isfinite(age) else None,
             "source": self._source,
         }
-        return [Emission("events", Event(name, fields))]
+        return [
+            Emission("evidence", RoutesStalenessChanged(is_stale)),
+            Emission("events", Event(name, fields)),
+        ]
--- a/src/sardinemill/overview.py
+++ b/src/sardinemill/overview.py
@@ -54,6 +54,8 @@
         the evidence was last renewed.
     :param statements: number of statements by outcome, ``ok`` or the refusal's reason.
     :param record_era: era in which the instance's fleet record was written.
+    :param is_configuration_stale: whether the instance has no recent proof that no
+        newer configuration exists.
     """
 
     address: str
@@ -62,6 +64,7 @@
     evidence_age_seconds: float = 0.0
     statements: tuple[tuple[str, int], ...] = ()
     record_era: int = 0
+    is_configuration_stale: bool = False
 
 
 class CountersSource(Protocol):
--- a/src/sardinemill/platform/overview.py
+++ b/src/sardinemill/platform/overview.py
@@ -29,7 +29,13 @@
 CONFIGURATION_VERSION_METRIC = "sardinemill_configuration_version"
 CONFIRMED_AGE_METRIC = "sardinemill_confirmed_age_seconds"
 RECORD_ERA_METRIC = "sardinemill_record_era"
-GAUGES = (CONFIGURATION_VERSION_METRIC, CONFIRMED_AGE_METRIC, RECORD_ERA_METRIC)
+CONFIGURATION_STALE_METRIC = "sardinemill_configuration_stale"
+GAUGES = (
+    CONFIGURATION_VERSION_METRIC,
+    CONFIGURATION_STALE_METRIC,
+    CONFIRMED_AGE_METRIC,
+    RECORD_ERA_METRIC,
+)
 
 
 class PlatformReader:
@@ -126,4 +132,5 @@
         evidence_age_seconds=round(gauges.get(CONFIRMED_AGE_METRIC, 0.0), 3),
         statements=tuple(sorted(statements.items())),
         record_era=int(gauges.get(RECORD_ERA_METRIC, 0)),
+        is_configuration_stale=gauges.get(CONFIGURATION_STALE_METRIC, 0.0) > 0.0,
     )
--- a/src/sardinemill/presentation.py
+++ b/src/sardinemill/presentation.py
@@ -9,7 +9,7 @@
 from .documents import EditRecord
 from .edits import Conflict
 from .fleet_operations import FleetStatus
-from .overview import FleetOverview, GroupOverview
+from .overview import FleetOverview, GroupOverview, InstanceCounters
 from .validation import ConfigurationFault
 
 
@@ -134,6 +134,20 @@
     return format_table(header, rows)
 
 
+def _describe_configuration(instance: InstanceCounters, newest: int) -> str:
+    """Describe the configuration of an instance.
+
+    :param newest: version in the store.
+    """
+    if not instance.is_answering:
+        return "silent"
+    version = instance.configuration_version
+    remarks = ["behind"] if version < newest else []
+    if instance.is_configuration_stale:
+        remarks.append("unconfirmed")
+    return f"{version} ({', '.join(remarks)})" if remarks else str(version)
+
+
 def format_overview(fleet: FleetOverview) -> str:
     """Format a fleet's groups, coordinators, rate limits and instance counters."""
     coordinators = [
@@ -159,7 +173,7 @@
     instances = [
         (
             item.address,
-            item.configuration_version if item.is_answering else "silent",
+            _describe_configuration(item, fleet.configuration_version),
             _describe_era(item.record_era, fleet.store_era),
             " ".join(f"{code}={count}" for code, count in item.statements) or "-",
         )
--- a/src/sardinemill/session_measurements.py
+++ b/src/sardinemill/session_measurements.py
@@ -8,7 +8,7 @@
 from .sessions.client_limits import ClientLoad
 from .sessions.messages import StatementResult
 from .sessions.refusals import MessageRefused
-from .sessions.routes import RoutesChanged, RoutesConfirmed
+from .sessions.routes import RoutesChanged, RoutesConfirmed, RoutesStalenessChanged
 from .telemetry import Metric, Telemetry
 
 
@@ -34,6 +34,8 @@
         elif isinstance(message, RoutesConfirmed):
             age = self._clock.now() - message.confirmed_at
             self._record(Metric.CONFIGURATION_AGE_SECONDS, age)
+        elif isinstance(message, RoutesStalenessChanged):
+            self._record(Metric.CONFIGURATION_STALE, float(message.is_stale))
         elif isinstance(message, RecordConfirmed):
             self._record(Metric.RECORD_ERA, float(message.record.era))
             age = self._clock.now() - message.confirmed_at
--- a/src/sardinemill/sessions/routes.py
+++ b/src/sardinemill/sessions/routes.py
@@ -190,3 +190,13 @@
 
     version: int
     confirmed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesStalenessChanged:
+    """The last proof that no newer configuration exists passed the limit of its age.
+
+    :param is_stale: whether it did; otherwise a newer proof has arrived.
+    """
+
+    is_stale: bool
--- a/src/sardinemill/telemetry.py
+++ b/src/sardinemill/telemetry.py
@@ -54,6 +54,9 @@
     CONFIGURATION_AGE_SECONDS = MetricKind(
         "gauge", "s", "Age of the proof that no newer configuration exists, on arrival."
     )
+    CONFIGURATION_STALE = MetricKind(
+        "gauge", "1", "1 while that proof is older than the limit, else 0."
+    )
     CONFIRMED_AGE_SECONDS = MetricKind(
         "gauge", "s", "Age of the confirmation when it arrived."
     )
@@ -91,6 +94,7 @@
 SESSION_METRICS = frozenset(
     {
         Metric.CONFIGURATION_AGE_SECONDS,
+        Metric.CONFIGURATION_STALE,
         Metric.RECORD_ERA,
         Metric.STATEMENTS,
         Metric.STATEMENT_SECONDS,
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+from dataclasses import replace
 
 from sardinemill.cli import run
 from sardinemill.fleet.records import Coordinator, Directory, FleetRecord, GroupRecord
@@ -93,10 +94,16 @@
 
 
 class FakeCountersSource:
-    """Source of counters whose instances do not answer."""
+    """Source of counters; without some, the instances do not answer."""
+
+    def __init__(self, **counters):
+        self._counters = counters
 
     async def fetch(self, address):
-        return InstanceCounters(address=address, is_answering=False)
+        is_answering = bool(self._counters)
+        return InstanceCounters(
+            address=address, is_answering=is_answering, **self._counters
+        )
 
 
 def test_group_whose_primary_is_missing_in_the_directory():
@@ -127,7 +134,20 @@
 sardinemill_statements_total{code="ok",kind="read"} 7.0
 # TYPE sardinemill_configuration_version gauge
 sardinemill_configuration_version 4.0
+# TYPE sardinemill_configuration_stale gauge
+sardinemill_configuration_stale 1.0
 """
     counters = parse_counters("h:1", text)
     assert counters.statements == (("busy", 5), ("ok", 7))
     assert counters.configuration_version == 4
+    assert counters.is_configuration_stale
+
+
+def test_instance_with_an_old_configuration_is_marked():
+    """Guards against an overview that does not show who lags behind."""
+    counters = FakeCountersSource(configuration_version=3, is_configuration_stale=True)
+    reader = FakeFleetReader(FleetRecord(), Directory())
+    found = asyncio.run(read_overview(reader, counters, ["h:1"]))
+    shown = format_overview(replace(found, configuration_version=4))
+    assert "3 (behind, unconfirmed)" in shown
+    assert "3 (unconfirmed)" in format_overview(replace(found, configuration_version=3))
--- a/tests/test_session_measurements.py
+++ b/tests/test_session_measurements.py
@@ -8,7 +8,7 @@
 from sardinemill.session_measurements import SessionMeasurements
 from sardinemill.sessions.client_limits import ClientLoad
 from sardinemill.sessions.messages import ErrorCode, StatementResult
-from sardinemill.sessions.routes import RoutesConfirmed
+from sardinemill.sessions.routes import RoutesConfirmed, RoutesStalenessChanged
 from sardinemill.telemetry import SESSION_METRICS, Metric
 from session_builders import make_confirmed, make_routes_changed, make_statement_request
 
@@ -26,6 +26,7 @@
         StatementResult(request=request, code=ErrorCode.BUSY),
         make_routes_changed(version=7),
         RoutesConfirmed(7, 100.5),
+        RoutesStalenessChanged(True),
         make_confirmed(100.5),
         StoreRequestFailed(ReadRecord(), StoreFault.REJECTED, "status 429"),
         ClientLoad(3, 1, 300_000),
