--- a/src/sardinemill/fleet/state.py
+++ b/src/sardinemill/fleet/state.py
@@ -12,9 +12,7 @@
 
 from ..control import PeerEnvelope
 from ..events import Event, EventName
-from ..groups import Address
 from ..interfaces import Emission, RandomSource
-from ..members import InstanceInfo, MembershipChanged
 from ..sessions.gateway_messages import PeerIntroduced
 from ..sessions.messages import DrainStarted
 from .configuration_cache import ConfigurationCache
@@ -22,6 +20,7 @@
 from .contact_log import ContactLog
 from .coordinator_membership import CoordinatorMembership
 from .gateway_table import GatewayAssignment, list_scarce_databases
+from .isolation import IsolationDetector
 from .known_positions import KnownPositions
 from .known_record import KnownRecord
 from .messages import (
@@ -33,17 +32,13 @@
     Introduction,
     PositionReport,
 )
-from .primary_lease import (
-    PRIMARY_LEASE_SECONDS,
-    CoordinatorConfirmation,
-    find_unanimous_confirmation_time,
-)
+from .peer_links import PeerLinks
+from .primary_lease import CoordinatorConfirmation, find_unanimous_confirmation_time
 from .question_schedule import MAX_EVIDENCE_AGE_SECONDS, QuestionSchedule
 from .questions import (
     IncomingQuestions,
     OutgoingQuestions,
     choose_first_number,
-    make_instance_info,
 )
 from .record_merge import VersionedRecord
 from .record_writer import RecordWriter
@@ -73,7 +68,6 @@
     GroupProposal,
     Identity,
     InitialSyncCompleted,
-    IsolationChanged,
     PositionSeen,
     ReachableCoordinatorsChanged,
     RecordConfirmed,
@@ -135,10 +129,9 @@
         self._schedule = QuestionSchedule(identity)
         self._gateways = GatewayAssignment()
         self._next_assignment_at = NEVER
-        self._introduced_peers: dict[str, InstanceInfo] = {}
         self._leave_deadline: float | None = None
         self._n_failovers = 0
-        self._linked_peers: tuple[InstanceInfo, ...] = ()
+        self._links = PeerLinks(identity.name)
         self._contacts = ContactLog()
         self._is_synced = False
         self._discovered_at: float | None = None
@@ -148,7 +141,7 @@
         self._n_active_instances = 1
         self._emitted_role: CoordinatorRoleChanged | None = None
         self._emitted_reachable: ReachableCoordinatorsChanged | None = None
-        self._emitted_isolation = IsolationChanged(False)
+        self._isolation = IsolationDetector()
 
     @property
     def next_tick(self) -> float | None:
@@ -735,33 +728,14 @@
         return [*emissions, *self._update_links()] if emissions else []
 
     def _link_introduced(self, introduction: Introduction) -> list[Emission]:
-        self._introduced_peers[introduction.instance] = make_instance_info(
-            introduction.instance, introduction.data_centre, introduction.address
-        )
+        self._links.add_introduced(introduction)
         return self._update_links()
 
     # Other instances
 
     def _update_links(self) -> list[Emission]:
-        peers = {
-            item.name: make_instance_info(
-                item.name, item.data_centre, Address(item.host, item.port)
-            )
-            for item in self._known.add_found_coordinators().coordinators
-        }
-        peers |= {
-            item.instance: make_instance_info(item.instance, "", item.address)
-            for item in self._gateways.table.gateways
-        }
-        peers |= self._introduced_peers
-        peers |= {item.name: item for item in self._incoming.list_instances()}
-        peers.pop(self._identity.name, None)
-        known = tuple(peers[name] for name in sorted(peers))
-        if known == self._linked_peers:
-            return []
-        self._linked_peers = known
-        changed = MembershipChanged(live=known, leaving=(), candidates=known)
-        return [Emission("links", changed)]
+        coordinators = self._known.add_found_coordinators().coordinators
+        return self._links.update(coordinators, self._gateways.table, self._incoming)
 
     def _emit_role(self, now: float) -> list[Emission]:
         emissions = []
@@ -786,21 +760,12 @@
         return emissions
 
     def _emit_isolation(self, now: float) -> list[Emission]:
-        """Emit a change when this instance is partitioned and lost its primary leases.
-
-        Before its first synchronization it has no sessions and no evidence yet. While
-        all coordinators answer, no other instance holds a lease either, so moving
-        sessions elsewhere would not help.
-        """
         if not self._is_synced:
+            # It has no sessions and no evidence yet.
             return []
-        reachable = self._membership.list_reachable(self._record, now)
-        has_primary_lease = now - self._confirmed_at <= PRIMARY_LEASE_SECONDS
-        is_partitioned = len(reachable) < len(self._record.coordinators)
-        changed = IsolationChanged(not has_primary_lease and is_partitioned)
-        if changed == self._emitted_isolation:
-            return []
-        self._emitted_isolation = changed
-        fields = {"n_heard": len(reachable), "n_instances": self._n_reported_instances}
-        name = EventName.ISOLATED if changed.is_isolated else EventName.ISOLATION_ENDED
-        return [Emission("isolation", changed), Emission("events", Event(name, fields))]
+        return self._isolation.update(
+            n_reachable=len(self._membership.list_reachable(self._record, now)),
+            n_coordinators=len(self._record.coordinators),
+            n_instances=self._n_reported_instances,
+            evidence_age_seconds=now - self._confirmed_at,
+        )
