--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -541,10 +541,10 @@
         """Raise if an evacuated database is promoted without a reason."""
         if self.find_data_centre(chosen) not in self.evacuated_until:
             return
-        if chosen == self.leader:
+        group = self.recorded_group
+        if chosen == self.leader != group.primary:
             # The record does not name it (yet); naming it again promotes nobody.
             return
-        group = self.recorded_group
         for database, term in self.terms.items():
             if (
                 database != group.primary
