--- a/src/sardinemill/fleet/questions.py
+++ b/src/sardinemill/fleet/questions.py
@@ -17,7 +17,8 @@
 # asked every 0.8 s at least.
 GATEWAY_TIMEOUT_SECONDS = 2.0
 NEVER = float("-inf")
-# Below it, messages stay as short for hours as with small numbers.
+# Bound of the number from which a process begins. It keeps the numbers within 16 bits,
+# and messages short, for the first hours of a process.
 N_FIRST_NUMBERS = 2**15
 
 
@@ -52,7 +53,7 @@
 class OutgoingQuestions:
     """Questions that this instance sent.
 
-    :param first_number: number before that of the first question.
+    :param first_number: the first question has the next number.
     """
 
     def __init__(self, first_number: int = 0) -> None:
@@ -112,7 +113,7 @@
     """Return the number from which a process numbers its questions.
 
     It differs between processes with the same name, so that a late answer to the one
-    before matches no question.
+    before hardly ever matches a question: few numbers are pending at a time.
     """
     return xxhash.xxh32_intdigest(identity.incarnation.encode()) % N_FIRST_NUMBERS
 
