--- a/review/standins-2/database_standin.py
+++ b/review/standins-2/database_standin.py
@@ -48,6 +48,7 @@
         self.port = 0
         self.born = int(time.time() * 1000)
         self.term = 3
+        self.state = "ready"
         self.is_primary = False
         self.is_up = False
         self.is_deaf = False
@@ -91,7 +92,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": self.service.n_slots,
-            "state": "ready",
+            "state": self.state,
             "cold_remaining_ms": 0,
             "database_role": "primary" if self.is_primary else "replica",
             "sequence": self._sequence,
