--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from database_standin import Service  # noqa: E402
+
 from deployment import (  # noqa: E402
     BROKEN,
     HELD,
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -161,7 +161,8 @@
         """Return resident memory (``VmRSS``) or its peak (``VmHWM``) in MB."""
         assert self.process is not None
         with contextlib.suppress(OSError):
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().split("\n"):
+            text = Path(f"/proc/{self.process.pid}/status").read_text("ascii")
+            for line in text.split("\n"):
                 if line.startswith(f"{field}:"):
                     return int(line.split()[1]) * 1024 / 1_000_000
         return 0.0
--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -120,9 +120,7 @@
             return 404, {}
         kind, name = parts[2], parts[3] if len(parts) == 4 else ""
         if method == "GET" and not name:
-            names = sorted(
-                item for (other, item) in self.objects if other == kind
-            )
+            names = sorted(item for (other, item) in self.objects if other == kind)
             names = [item for item in names if item > query.get("after", "")]
             page = [self.objects[kind, item] for item in names[:PAGE_SIZE]]
             more = len(names) > PAGE_SIZE
