--- a/src/sardinemill/platform/daemon.py
+++ b/src/sardinemill/platform/daemon.py
@@ -18,7 +18,7 @@
 from ..interfaces import Outlet
 from ..session_composition import SessionInstance, SessionInstanceAdapters
 from ..session_measurements import SessionMeasurements
-from ..sessions.database_usage import compute_evacuation_grace
+from ..sessions.database_usage import GracePeriods, compute_grace_period
 from .clients import ClientListener
 from .metrics import make_metrics
 from .probe_server import ProbeServer
@@ -97,7 +97,10 @@
         tolerance=settings.rate_tolerance,
         client_limits=settings.client_limits,
         configuration_limit_seconds=settings.configuration_limit_seconds,
-        evacuation_grace_seconds=compute_evacuation_grace(settings.evacuation_seconds),
+        grace_periods=GracePeriods(
+            evacuation_seconds=compute_grace_period(settings.evacuation_seconds),
+            leave_seconds=compute_grace_period(settings.leave_seconds),
+        ),
     )
     return instance
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -25,6 +25,7 @@
 from .pipeline import Stage
 from .sessions.admission import Admission
 from .sessions.client_limits import DEFAULT_CLIENT_LIMITS, ClientLimits
+from .sessions.database_usage import DEFAULT_GRACE_PERIODS, GracePeriods
 from .sessions.gateway import Gateway
 from .sessions.gateway_messages import (
     ForwardedStatementsInProgress,
@@ -308,8 +309,7 @@
 
     :param stop_seconds: time from the stop signal until the process is killed.
     :param tolerance: of the rate limits.
-    :param evacuation_grace_seconds: time for open transactions after the instance has
-        learned that a data centre is evacuated.
+    :param grace_periods: for work at databases that are about to get none.
     :param client_limits: of what clients may make the instance hold.
     :param configuration_limit_seconds: time within which a configuration has to be in
         force after its acknowledgement.
@@ -322,7 +322,7 @@
         *,
         stop_seconds: float,
         tolerance: RateTolerance = DEFAULT_TOLERANCE,
-        evacuation_grace_seconds: float = 0.0,
+        grace_periods: GracePeriods = DEFAULT_GRACE_PERIODS,
         client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
         configuration_limit_seconds: float = math.inf,
     ) -> None:
@@ -347,7 +347,7 @@
                 identity.data_centre,
                 identity.name,
                 identity,
-                evacuation_grace_seconds,
+                grace_periods,
                 client_limits.n_database_connections,
             ),
         )
@@ -355,7 +355,7 @@
             "gateway",
             Gateway(
                 identity.data_centre,
-                evacuation_grace_seconds,
+                grace_periods,
                 client_limits.n_gateway_connections,
             ),
         )
--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -10,7 +10,14 @@
 from ..fleet.views import PositionSeen, RecordConfirmed, merge_positions
 from ..groups import rank_candidates
 from ..positions import LogPosition
-from .database_usage import DatabaseCondition, Usage, UsageDecision, decide_usage
+from .database_usage import (
+    DEFAULT_GRACE_PERIODS,
+    DatabaseCondition,
+    GracePeriods,
+    Usage,
+    UsageDecision,
+    decide_usage,
+)
 from .messages import StatementRequest
 
 # A replica that lacked the minimum position of a read gets no reads for this time.
@@ -22,6 +29,8 @@
 # A database that disappears from the directory stays in use for this time, since it
 # may be listed again.
 REMOVAL_GRACE_SECONDS = 2.0
+# A removed database is forgotten after this time, when no statement waits for it.
+REMOVAL_RETENTION_SECONDS = 60.0
 
 # Costs in the choice of a database, in units of one waiting statement. The database
 # with the lowest sum serves the read.
@@ -37,20 +46,21 @@
     :param data_centre: of this instance; databases of other data centres cost more.
     :param instance: name of this instance; instances order databases of equal cost
         differently, so that they do not all use the same one.
-    :param evacuation_grace_seconds: time for open transactions after this instance has
-        learned of an evacuation.
+    :param grace_periods: for work at databases that are about to get none.
     """
 
     def __init__(
         self,
         data_centre: str,
         instance: str = "",
-        evacuation_grace_seconds: float = 0.0,
+        grace_periods: GracePeriods = DEFAULT_GRACE_PERIODS,
     ) -> None:
         self._data_centre = data_centre
         self._instance = instance
-        self._evacuation_grace_seconds = evacuation_grace_seconds
+        self._grace_periods = grace_periods
         self._evacuated_since: dict[str, float] = {}
+        # By name and start: a database may start again under its name.
+        self._leaving_since: dict[tuple[str, int], float] = {}
         self._preferences: dict[str, int] = {}
         self._record = FleetRecord()
         self._confirmed_at = NEVER
@@ -79,15 +89,27 @@
             if entry.name not in present and entry.name not in self._removed:
                 self._removed[entry.name] = (entry, now)
         self._removed = {
-            name: item for name, item in self._removed.items() if name not in present
+            name: item
+            for name, item in self._removed.items()
+            if name not in present and now - item[1] < REMOVAL_RETENTION_SECONDS
         }
-        # An instance that starts during an evacuation has nothing under way there.
+        # For an instance that starts later the time may be over already, and it has
+        # nothing under way there.
         learned_at = now if self._directory.databases else NEVER
         self._directory = directory
         self._evacuated_since = {
             name: self._evacuated_since.get(name, learned_at)
             for name in directory.evacuated_data_centres
         }
+        removed = [entry for entry, _ in self._removed.values()]
+        leaving = [
+            (item.name, item.born_ms)
+            for item in (*directory.databases, *removed)
+            if item.is_leaving
+        ]
+        self._leaving_since = {
+            key: self._leaving_since.get(key, learned_at) for key in leaving
+        }
         ranked = rank_candidates(self._instance, present)
         self._preferences = {name: rank for rank, name in enumerate(ranked)}
 
@@ -126,24 +148,33 @@
         :param is_primary: it leads its group, so that it cannot lag.
         """
         since = self._evacuated_since.get(entry.data_centre)
+        leaving_since = self._leaving_since.get((entry.name, entry.born_ms))
         condition = DatabaseCondition(
-            is_leaving=entry.is_leaving,
+            leaving_seconds=None if leaving_since is None else now - leaving_since,
             is_lagging=not is_primary
             and now < self._lagging_until.get(entry.name, NEVER),
             evacuated_seconds=None if since is None else now - since,
         )
-        return decide_usage(condition, self._evacuation_grace_seconds)
+        return decide_usage(condition, self._grace_periods)
 
-    def list_evacuated(self, now: float) -> list[DatabaseEntry]:
-        """Return the databases of evacuated data centres."""
-        if not self._evacuated_since:
-            return []
-        removed = [entry for entry, _ in self._removed.values()]
-        return [
+    def list_withdrawn(self) -> list[DatabaseEntry]:
+        """Return the databases that are evacuated, leave or have left."""
+        present = [
             entry
-            for entry in (*self._directory.databases, *removed)
-            if entry.data_centre in self._evacuated_since
+            for entry in self._directory.databases
+            if entry.is_leaving or entry.data_centre in self._evacuated_since
         ]
+        return [*present, *(entry for entry, _ in self._removed.values())]
+
+    def may_run_queued(self, entry: DatabaseEntry, now: float) -> bool:
+        """Return whether statements that wait for a database may still run there."""
+        if self.find_entry(entry.name, now) is None:
+            return False
+        usage = self.decide_usage(entry, now).usage
+        if usage is Usage.PRIMARY_WORK:
+            primary = self.find_primary(entry.group, now)
+            return primary is not None and primary.name == entry.name
+        return usage is Usage.NEW_WORK
 
     def is_local(self, entry: DatabaseEntry) -> bool:
         """Return whether a database is in the data centre of this instance."""
@@ -152,13 +183,24 @@
     def find_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """Return the primary of a group if this instance may send work to it now.
 
-        :returns: ``None`` when there is no leased primary, or when it must get nothing
-            because its data centre is evacuated.
+        :returns: ``None`` when there is no leased primary, or when it must get no new
+            work any more, because it leaves or is evacuated.
         """
         entry = self.find_leased_primary(group, now)
-        if entry is None or self.decide_usage(entry, now).usage is Usage.NOTHING:
+        if entry is None:
             return None
-        return entry
+        usage = self.decide_usage(entry, now, is_primary=True).usage
+        return entry if usage in (Usage.NEW_WORK, Usage.PRIMARY_WORK) else None
+
+    def describe_primary(self, group: str, now: float) -> str:
+        """Return why a group's primary may not be used, for messages."""
+        entry = self.find_leased_primary(group, now)
+        if entry is not None:
+            reason = self.decide_usage(entry, now, is_primary=True).reason
+            if reason:
+                return f"primary {entry.name}: {reason}"
+        record = self._record.find_group(group)
+        return f"primary {'none' if record is None else record.phase.value}"
 
     def find_leased_primary(self, group: str, now: float) -> DatabaseEntry | None:
         """Return the primary of a group on which this instance holds a lease.
@@ -189,11 +231,6 @@
         seen = self._positions.get(group)
         return None if seen is None else now - seen.seen_at
 
-    def describe_phase(self, group: str) -> str:
-        """Return the phase of a group for messages, ``none`` for an unknown group."""
-        record = self._record.find_group(group)
-        return "none" if record is None else record.phase.value
-
     def find_minimum_position(
         self, request: StatementRequest, now: float
     ) -> LogPosition | None:
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -18,7 +18,7 @@
     classify_effect,
 )
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
-from .database_usage import Usage
+from .database_usage import DEFAULT_GRACE_PERIODS, GracePeriods, Usage
 from .databases import DatabaseView
 from .gateway_messages import (
     ForwardedStatementsInProgress,
@@ -57,6 +57,7 @@
 # Both are shorter than the shortest drain, so that none arrives as the process ends.
 CLOSE_DELAY_SECONDS = 1.5
 STOP_REASON = "the gateway stops"
+_WITHOUT_NEW_WORK = (Usage.OPEN_TRANSACTIONS, Usage.NOTHING)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,20 +83,17 @@
     (:class:`ForwardedStatementsInProgress`, only while draining), ``events``.
 
     :param data_centre: of this instance.
-    :param evacuation_grace_seconds: time for statements under way after this instance
-        has learned of an evacuation.
+    :param grace_periods: for work at databases that are about to get none.
     :param n_connections: bound of the connections to all databases together.
     """
 
     def __init__(
         self,
         data_centre: str,
-        evacuation_grace_seconds: float = 0.0,
+        grace_periods: GracePeriods = DEFAULT_GRACE_PERIODS,
         n_connections: float = math.inf,
     ) -> None:
-        self._databases = DatabaseView(
-            data_centre, evacuation_grace_seconds=evacuation_grace_seconds
-        )
+        self._databases = DatabaseView(data_centre, grace_periods=grace_periods)
         self._limits = PoolLimits(
             self._databases,
             GATEWAY_QUOTA_FRACTION,
@@ -167,7 +165,7 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             emissions += self._pool.close_idle(now)
-            emissions += self._withdraw_evacuated(now)
+            emissions += self._withdraw_queued(now)
             # By now the link knows the addresses of those that sent a greeting.
             emissions += [
                 Emission("peers", PeerEnvelope(peer=peer, message=GatewayWelcome()))
@@ -178,18 +176,20 @@
             emissions += self._emit_in_progress()
         return emissions
 
-    def _withdraw_evacuated(self, now: float) -> list[Emission]:
-        """Give up databases that must get nothing more."""
+    def _withdraw_queued(self, now: float) -> list[Emission]:
+        """Pass back what waits for databases that may get no new work."""
         emissions: list[Emission] = []
-        for entry in self._databases.list_evacuated(now):
+        for entry in self._databases.list_withdrawn():
             decision = self._databases.decide_usage(entry, now)
-            if decision.usage is not Usage.NOTHING:
+            is_gone = self._databases.find_entry(entry.name, now) is None
+            if not (is_gone or decision.usage in _WITHOUT_NEW_WORK):
                 continue
             emissions += [
-                self._pass_by(dispatch.request, decision.reason)
+                self._pass_by(dispatch.request, decision.reason or "it has left")
                 for dispatch in self._pool.remove_queued(entry.name)
             ]
-            emissions += self._pool.close_connections(entry.name)
+            if decision.usage is Usage.NOTHING:
+                emissions += self._pool.close_connections(entry.name)
         return emissions
 
     def _end_statements(self) -> list[Emission]:
@@ -242,7 +242,7 @@
             text = "the gateway does not know the database"
             return [*emissions, self._pass_by(request, text)]
         decision = self._databases.decide_usage(entry, now)
-        if decision.usage is Usage.NOTHING:
+        if decision.usage in _WITHOUT_NEW_WORK:
             return [*emissions, self._pass_by(request, decision.reason)]
         reason = self._find_refusal(dispatch, now)
         if reason is not None:
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -27,7 +27,7 @@
 from .connection_pool import ConnectionLossKind, ConnectionPool, PoolLimits
 from .connections import QUOTA_FRACTION, Connection
 from .database_choice import DatabaseChoice
-from .database_usage import Usage
+from .database_usage import DEFAULT_GRACE_PERIODS, GracePeriods, Usage
 from .databases import DatabaseView
 from .gateway_client import ForwardedStatement, GatewayClient
 from .gateway_messages import GatewayOutcome, is_forwardable
@@ -94,8 +94,7 @@
     :param data_centre: of this instance.
     :param instance: name of this instance.
     :param identity: of this instance, for gateways; without one it uses none.
-    :param evacuation_grace_seconds: time for open transactions after this instance has
-        learned of an evacuation.
+    :param grace_periods: for work at databases that are about to get none.
     :param n_connections: bound of the connections to all databases together.
     """
 
@@ -104,10 +103,10 @@
         data_centre: str,
         instance: str = "",
         identity: Identity | None = None,
-        evacuation_grace_seconds: float = 0.0,
+        grace_periods: GracePeriods = DEFAULT_GRACE_PERIODS,
         n_connections: float = math.inf,
     ) -> None:
-        self._databases = DatabaseView(data_centre, instance, evacuation_grace_seconds)
+        self._databases = DatabaseView(data_centre, instance, grace_periods)
         self._limits = PoolLimits(
             self._databases, QUOTA_FRACTION, n_connections=n_connections
         )
@@ -150,7 +149,7 @@
             self._databases.merge_position(message)
         elif isinstance(message, DirectoryChanged):
             self._databases.update_directory(message.directory, now)
-            return self._withdraw_evacuated(now)
+            return self._withdraw_queued(now)
         elif isinstance(message, RoutesChanged):
             self._limits.max_connections = message.table.max_connections
         elif isinstance(message, ReachableCoordinatorsChanged):
@@ -175,16 +174,19 @@
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_SECONDS
             emissions += self._pool.close_idle(now)
-            emissions += self._withdraw_evacuated(now)
+            emissions += self._withdraw_queued(now)
             emissions += self._emit_lease_change(now)
         return emissions
 
-    def _withdraw_evacuated(self, now: float) -> list[Emission]:
-        """Place queued statements elsewhere and close connections in evacuations."""
+    def _withdraw_queued(self, now: float) -> list[Emission]:
+        """Place statements elsewhere that wait for databases without new work.
+
+        Load pattern: a database leaves, or its data centre is evacuated, while
+        statements wait for its connections.
+        """
         emissions: list[Emission] = []
-        for entry in self._databases.list_evacuated(now):
-            primary = self._databases.find_primary(entry.group, now)
-            if primary is not None and primary.name == entry.name:
+        for entry in self._databases.list_withdrawn():
+            if self._databases.may_run_queued(entry, now):
                 continue
             decision = self._databases.decide_usage(entry, now)
             for dispatch in self._pool.remove_queued(entry.name):
@@ -192,7 +194,7 @@
                     dispatch.request,
                     entry.name,
                     now,
-                    message=decision.reason,
+                    message=decision.reason or "it has left",
                     is_database_usable=True,
                 )
             if decision.usage is Usage.NOTHING:
@@ -255,12 +257,12 @@
             now,
         )
         if chosen is None:
-            phase = self._databases.describe_phase(request.route.group)
+            primary = self._databases.describe_primary(request.route.group, now)
             age = self._databases.find_lease_evidence_age(now)
             return emissions + self._refuse(
                 pending,
                 ErrorCode.BUSY,
-                f"no database to use: primary {phase}, lease evidence {age:.2f} s"
+                f"no database to use: {primary}, lease evidence {age:.2f} s"
                 f" old, {len(pending.tried)} tried; retry after 0.5 s",
             )
         pending.is_on_primary = chosen.is_primary
--- /dev/null
+++ b/tests/test_leaving_databases.py
@@ -0,0 +1,208 @@
+"""Databases that leave: use until a deadline, and failovers without a candidate."""
+
+from dataclasses import replace
+
+import pytest
+
+from sardinemill.fleet.views import PositionSeen
+from sardinemill.sessions.connection_messages import OpenConnection, RunStatement
+from sardinemill.sessions.database_usage import GracePeriods
+from sardinemill.sessions.databases import REMOVAL_GRACE_SECONDS
+from sardinemill.sessions.gateway import Gateway
+from sardinemill.sessions.messages import (
+    Effect,
+    ErrorCode,
+    StatementResult,
+    TransactionStep,
+)
+from sardinemill.sessions.placement import Placement
+from session_builders import (
+    BOOKINGS_ROUTE,
+    COMMIT,
+    DATABASES,
+    LOGS_ROUTE,
+    READ,
+    STATUS_ROUTE,
+    WRITE,
+    make_confirmed,
+    make_directory,
+    make_routes_changed,
+    make_statement_request,
+    select,
+)
+from test_gateways import GATEWAYS, make_network, make_write
+from test_sessions_placement import NOW, POSITION, make_finished, open_all
+
+GRACE_SECONDS = 1.0
+LATER = NOW + GRACE_SECONDS
+SLOW_STATUS_ROUTE = replace(STATUS_ROUTE, timeout_seconds=9.0)
+GRACE_PERIODS = GracePeriods(leave_seconds=GRACE_SECONDS)
+
+
+def make_leaving(*names):
+    """Return the message that announces the databases, some of which leave."""
+    return make_directory(
+        replace(item, is_leaving=item.name in names) for item in DATABASES
+    )
+
+
+def keep_lease(placement, now):
+    """Renew the primary lease and the position of the primary."""
+    placement.handle(make_confirmed(now), now)
+    placement.handle(PositionSeen("g", POSITION, now), now)
+
+
+def make_placement(directory=None):
+    """Return a placement that knows three databases and leases the primary."""
+    placement = Placement("x", grace_periods=GRACE_PERIODS)
+    placement.handle(make_routes_changed(), NOW)
+    placement.handle(directory or make_directory(), NOW)
+    keep_lease(placement, NOW)
+    return placement
+
+
+def find_opened(emissions):
+    """Return the databases to which connections are opened."""
+    commands = select(emissions, "connections", OpenConnection)
+    return [command.database.name for command in commands]
+
+
+def find_refusals(emissions):
+    """Return code, effect and database of the results."""
+    return [
+        (item.code, item.effect, item.database)
+        for item in select(emissions, "result", StatementResult)
+    ]
+
+
+def make_transaction_request(number, statement, step, **fields):
+    """Return a request of the only transaction."""
+    has_begun = step is not TransactionStep.FIRST
+    return make_statement_request(
+        number,
+        statement,
+        BOOKINGS_ROUTE,
+        step=step,
+        session_id=1,
+        has_begun=has_begun,
+        is_read_only=False,
+        **fields,
+    )
+
+
+@pytest.mark.parametrize(
+    ("route", "statement", "step"),
+    [
+        (BOOKINGS_ROUTE, WRITE, TransactionStep.NONE),
+        (BOOKINGS_ROUTE, WRITE, TransactionStep.FIRST),
+        (BOOKINGS_ROUTE, READ, TransactionStep.NONE),
+        (STATUS_ROUTE, READ, TransactionStep.NONE),
+        (LOGS_ROUTE, READ, TransactionStep.NONE),
+    ],
+)
+def test_group_that_leaves_serves_until_the_deadline_and_then_refuses(
+    route, statement, step
+):
+    """Guards against new work at a leaving database after its deadline (review/7),
+    against a wait for work that cannot run, and against a refusal before it.
+    """
+    placement = make_placement()
+    placement.handle(make_leaving("p", "r1", "r2"), NOW)
+    request = make_statement_request(1, statement, route, step=step)
+    (run,) = open_all(placement, placement.handle(request, NOW))
+    assert run.dispatch.database == "p"
+    keep_lease(placement, LATER)
+    request = make_statement_request(
+        2, statement, route, step=step, received_at=LATER, session_id=2
+    )
+    emissions = placement.handle(request, LATER)
+    assert find_refusals(emissions) == [(ErrorCode.BUSY, Effect.NOT_RUN, "")]
+
+
+def test_open_transaction_ends_after_the_deadline():
+    """Guards against a transaction that is broken off while its database serves it."""
+    placement = make_placement()
+    first = make_transaction_request(1, WRITE, TransactionStep.FIRST)
+    (run,) = open_all(placement, placement.handle(first, NOW))
+    placement.handle(make_finished(run), NOW)
+    placement.handle(make_leaving("p"), NOW)
+    keep_lease(placement, LATER)
+    for number, statement, step in (
+        (2, WRITE, TransactionStep.LATER),
+        (3, COMMIT, TransactionStep.COMMIT),
+    ):
+        request = make_transaction_request(number, statement, step, received_at=LATER)
+        emissions = placement.handle(request, LATER)
+        (run,) = select(emissions, "connections", RunStatement)
+        emissions = placement.handle(make_finished(run), LATER)
+        (result,) = select(emissions, "result", StatementResult)
+        assert result.code is None and result.is_answered
+
+
+def test_instance_that_starts_while_a_primary_leaves_sends_it_no_new_work():
+    """Guards against a deadline that begins anew with each start."""
+    placement = make_placement(make_leaving("p"))
+    request = make_statement_request(1, WRITE, BOOKINGS_ROUTE)
+    assert [code for code, _, _ in find_refusals(placement.handle(request, NOW))] == [
+        ErrorCode.BUSY
+    ]
+
+
+def test_database_that_started_again_has_no_deadline():
+    """Guards against the deadline of an earlier process with the same name."""
+    placement = make_placement()
+    placement.handle(make_leaving("r1"), NOW)
+    reborn = [replace(item, born_ms=2) for item in DATABASES if item.name == "r1"]
+    placement.handle(make_directory([DATABASES[0], *reborn]), LATER)
+    keep_lease(placement, LATER)
+    request = make_statement_request(1, received_at=LATER)
+    assert find_opened(placement.handle(request, LATER)) == ["r1"]
+
+
+def test_statements_that_wait_for_a_leaving_primary_are_refused_at_the_deadline():
+    """Guards against a statement that is sent after the deadline because it waited for
+    a connection, and against one that waits on although it cannot run.
+    """
+    placement = make_placement()
+    placement.handle(make_leaving("p", "r1", "r2"), NOW)
+    route = replace(BOOKINGS_ROUTE, timeout_seconds=9.0)
+    opening = placement.handle(make_statement_request(1, WRITE, route), NOW)
+    within = NOW + GRACE_SECONDS / 2
+    assert find_refusals(placement.tick(within)) == []
+    keep_lease(placement, LATER)
+    refusals = find_refusals(placement.tick(LATER))
+    assert refusals == [(ErrorCode.BUSY, Effect.NOT_RUN, "")]
+    assert open_all(placement, opening, LATER) == []
+
+
+@pytest.mark.parametrize(
+    ("is_gone", "seconds"), [(False, 0.0), (True, REMOVAL_GRACE_SECONDS)]
+)
+def test_read_that_waits_for_a_replica_is_placed_again_when_it_leaves(is_gone, seconds):
+    """Guards against a read that is sent to a replica which leaves or has left."""
+    placement = make_placement()
+    request = make_statement_request(1, route=SLOW_STATUS_ROUTE)
+    opening = placement.handle(request, NOW)
+    (name,) = find_opened(opening)
+    rest = [item for item in DATABASES if item.name != name]
+    changed = make_directory(rest) if is_gone else make_leaving(name)
+    emissions = list(placement.handle(changed, NOW))
+    now = NOW + seconds
+    keep_lease(placement, now)
+    emissions += placement.tick(now)
+    (other,) = find_opened(emissions)
+    assert other != name
+    runs = open_all(placement, [*opening, *emissions], now)
+    assert [run.dispatch.database for run in runs] == [other]
+
+
+def test_gateway_passes_back_what_waits_for_a_primary_after_the_deadline():
+    """Guards against a gateway that learns late, and queues what others forward."""
+    network = make_network()
+    gateway = Gateway("x", GRACE_PERIODS)
+    gateway.handle(make_routes_changed(), network.now)
+    gateway.handle(make_directory(), network.now)
+    network.instances[GATEWAYS["p"]].gateway = gateway
+    gateway.handle(make_leaving("p"), network.now - GRACE_SECONDS)
+    (result,) = network.request("e0", make_write())
+    assert (result.code, result.gateway) == (None, "")
