A planned failover starts once a candidate answers

Callers saw: refusals for seconds, again and again, while the primary that was to be replaced served well. Cause: a listed candidate was enough to mark the group, and a candidate that is cut off is listed for seconds. The failover then queried it until its time was over, and after 2 s promoted a replica that lacked entries which the leaving primary still had. Change: the candidates are asked before the group is marked; one that has followed the recorded primary has to have answered within 1 s. A planned failover that finds no candidate with all entries within 2 s keeps a primary that answers, as evacuations did. Event candidate_awaited tells what the databases reported.

--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -144,6 +144,9 @@
     CHANGE_COMPLETED = EventKind(
         312, "warning", "A failover has completed; the group has a new primary."
     )
+    CANDIDATE_AWAITED = EventKind(
+        321, "warning", "A failover waits for a database that can be promoted."
+    )
     CHANGE_ABANDONED = EventKind(
         313, "warning", "A failover ended without a new primary."
     )
--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -65,6 +65,8 @@
 # Maximum wait of a planned failover for a replica to receive all entries, and of any
 # failover for a replica that has followed the recorded primary.
 MAX_CATCH_UP_SECONDS = 2.0
+# A planned failover starts if a candidate has answered within this time.
+CANDIDATE_ANSWER_SECONDS = 1.0
 PROBE_INTERVAL_SECONDS = 0.25
 NEVER = float("-inf")
 
@@ -128,6 +130,11 @@
     :ivar changing_since: since when the failover in the record has had its current
         ``changing_key``.
     :ivar changing_key: holder, fencing token and attempt of that failover.
+    :ivar unserved_since: since when the record names no primary to use.
+    :ivar statuses: last answers of the databases before a planned failover, with their
+        times.
+    :ivar queried_at: time of the last queries for them.
+    :ivar is_wait_reported: the log says that this failover waits.
     """
 
     def __init__(self) -> None:
@@ -136,6 +143,10 @@
         self.proposed_at: float = NEVER
         self.changing_since: float | None = None
         self.changing_key: tuple[str, int, int] = ("", 0, 0)
+        self.unserved_since: float | None = None
+        self.statuses: dict[str, tuple[DatabaseStatus, float]] = {}
+        self.queried_at: float = NEVER
+        self.is_wait_reported = False
 
 
 class PrimaryFailover:
@@ -214,7 +225,10 @@
         state = self._groups.setdefault(name, _GroupState())
         record = self._record.find_group(name)
         if record is not None and record.phase is GroupPhase.CHANGING:
+            if state.unserved_since is None:
+                state.unserved_since = now
             return self._take_over_stalled(record, state, now)
+        state.unserved_since = None
         if record is None or not record.primary:
             return self._propose_first_primary(name, record, state, now)
         state.changing_since = None
@@ -227,6 +241,7 @@
         reason = self._detector.find_reason(record, self._directory, now)
         if reason is None:
             state.suspected_since = None
+            state.is_wait_reported = False
             return emissions
         if state.suspected_since is None:
             state.suspected_since = now
@@ -239,10 +254,74 @@
         if reason == UNREACHABLE:
             alive_at = self._detector.find_alive_at(record.primary)
             silent_since = silent_since if alive_at == NEVER else alive_at
-        if now - silent_since >= wait and self._has_candidate(record):
+        if now - silent_since < wait:
+            return emissions
+        if reason in PLANNED_REASONS:
+            is_ready, queries = self._find_ready_candidate(record, state, now)
+            emissions += queries
+            if not is_ready:
+                statuses = [status for status, _ in state.statuses.values()]
+                emissions += self._report_wait(record, state, reason, statuses, now)
+                return emissions
+        if self._has_candidate(record):
             emissions += self._propose_failover(record, state, reason, now)
         return emissions
 
+    def _find_ready_candidate(
+        self, record: GroupRecord, state: _GroupState, now: float
+    ) -> tuple[bool, list[Emission]]:
+        """Return whether a planned failover has a candidate, and status queries.
+
+        The primary still serves, so it is kept until a database that has followed it
+        answers: a candidate may be listed while it is cut off.
+        """
+        candidates = [
+            item
+            for item in self._list_candidates(record.group, record.primary)
+            if not self._directory.is_evacuated(item)
+        ]
+        names = {item.name for item in candidates}
+        is_ready = any(
+            name in names
+            and now - answered_at <= CANDIDATE_ANSWER_SECONDS
+            and status.is_alive
+            and not is_behind_record(status, record)
+            for name, (status, answered_at) in state.statuses.items()
+        )
+        if is_ready or now - state.queried_at < STATUS_QUERY_INTERVAL_SECONDS:
+            return is_ready, []
+        state.queried_at = now
+        queries = [
+            Emission("databases", QueryDatabaseStatus(item)) for item in candidates
+        ]
+        return is_ready, queries
+
+    def _report_wait(
+        self,
+        record: GroupRecord,
+        state: _GroupState,
+        reason: str,
+        statuses: Sequence[DatabaseStatus],
+        now: float,
+    ) -> list[Emission]:
+        """Log once that a failover has no database to promote, and why."""
+        since = state.suspected_since if state.suspected_since is not None else now
+        if state.unserved_since is not None:
+            since = state.unserved_since
+        if state.is_wait_reported or now - since < MAX_STATUS_WAIT_SECONDS:
+            return []
+        state.is_wait_reported = True
+        fields = {
+            "group": record.group,
+            "primary": record.primary,
+            "recorded_term": record.term,
+            "phase": record.phase.value,
+            "reason": reason,
+            "statuses": [_describe_status(item) for item in statuses],
+            "seconds": round(now - since, 3),
+        }
+        return [Emission("events", Event(EventName.CANDIDATE_AWAITED, fields))]
+
     def _propose_first_primary(
         self, name: str, record: GroupRecord | None, state: _GroupState, now: float
     ) -> list[Emission]:
@@ -450,23 +529,50 @@
             evacuated,
         )
         is_complete = all(item.name in failover.statuses for item in candidates)
-        if best is not None and (is_complete or waited > MAX_STATUS_WAIT_SECONDS):
+        has_waited = is_complete or waited > MAX_STATUS_WAIT_SECONDS
+        target = None
+        if best is not None and has_waited:
             is_behind = self._is_missing_entries(failover, best) or is_behind_record(
                 best, failover.record
             )
-            if not is_behind:
-                return self._promote(name, failover, best.database, now)
-            if waited > MAX_CATCH_UP_SECONDS:
-                if failover.reason == EVACUATED and not failover.may_have_promoted:
-                    # It is healthy, and a promotion would lose what it acknowledged.
-                    reason = "no candidate has received all entries"
-                    return self._keep_primary(name, failover, reason, now)
-                return self._promote(name, failover, best.database, now)
+            if not is_behind or waited > MAX_CATCH_UP_SECONDS:
+                target = best.database
+        if waited > MAX_CATCH_UP_SECONDS and self._may_keep_planned(failover, best):
+            # It is healthy, and a promotion would lose what it acknowledged.
+            reason = "no candidate has received all entries"
+            return self._keep_primary(name, failover, reason, now)
+        if target is not None:
+            return self._promote(name, failover, target, now)
+        emissions = []
+        if waited > MAX_STATUS_WAIT_SECONDS:
+            statuses = list(failover.statuses.values())
+            emissions += self._report_wait(
+                failover.record, self._groups[name], failover.reason, statuses, now
+            )
         if now < failover.due_at:
-            return []
+            return emissions
         failover.due_at = now + STATUS_QUERY_INTERVAL_SECONDS
         queried = candidates if old is None else [*candidates, old]
-        return [Emission("databases", QueryDatabaseStatus(item)) for item in queried]
+        queries = [Emission("databases", QueryDatabaseStatus(item)) for item in queried]
+        return [*emissions, *queries]
+
+    def _may_keep_planned(
+        self, failover: _Failover, best: DatabaseStatus | None
+    ) -> bool:
+        """Return whether a planned failover can end without a new primary.
+
+        The old one still serves, and no candidate has received all of its entries.
+        """
+        if not failover.is_planned or failover.may_have_promoted:
+            return False
+        is_behind = (
+            best is None
+            or is_behind_record(best, failover.record)
+            or self._is_missing_entries(failover, best)
+        )
+        old = failover.statuses.get(failover.record.primary)
+        is_serving = old is not None and old.is_alive
+        return is_behind and (is_serving or failover.reason == EVACUATED)
 
     def _may_keep_primary(self, failover: _Failover) -> bool:
         """Return whether the primary answers again and is the recorded one."""
@@ -580,6 +686,8 @@
         entry = self._directory.find(status.database)
         # Each group counts its own terms, so a status concerns its own group only.
         failover = None if entry is None else self._failovers.get(entry.group)
+        if entry is not None and entry.group in self._groups:
+            self._groups[entry.group].statuses[status.database] = (status, now)
         if failover is None:
             return []
         if failover.step is FailoverStep.QUERY_REPLICAS:
--- a/tests/test_leaving_databases.py
+++ b/tests/test_leaving_databases.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sardinemill.fleet.failover_messages import DatabaseStatus
+from sardinemill.fleet.records import GroupPhase
 from sardinemill.fleet.views import PositionSeen
 from sardinemill.sessions.connection_messages import OpenConnection, RunStatement
 from sardinemill.sessions.database_usage import GracePeriods
@@ -30,6 +32,7 @@
     make_statement_request,
     select,
 )
+from test_fleet_failover import make_harness, make_status
 from test_gateways import GATEWAYS, make_network, make_write
 from test_sessions_placement import NOW, POSITION, make_finished, open_all
 
@@ -206,3 +209,59 @@
     gateway.handle(make_leaving("p"), network.now - GRACE_SECONDS)
     (result,) = network.request("e0", make_write())
     assert (result.code, result.gateway) == (None, "")
+
+
+def lose(harness, *names):
+    """Let databases answer no status query."""
+    for name in names:
+        harness.statuses[name] = DatabaseStatus(name, is_alive=False)
+
+
+def test_leaving_primary_is_kept_while_its_candidates_are_cut_off():
+    """Guards against a group without a primary because the candidate of a planned
+    failover is listed but does not answer, and against a primary that stays once the
+    candidate is back.
+    """
+    harness = make_harness()
+    harness.failover.handle(make_leaving("p", "r1"), harness.now)
+    harness.statuses["p"] = make_status("p", 9, is_primary=True)
+    lose(harness, "r2")
+    harness.run(5.0, alive=["p"])
+    assert (harness.proposals, harness.group.phase) == ([], GroupPhase.STEADY)
+    harness.statuses["r2"] = make_status("r2", 9)
+    harness.run(3.0, alive=["p"])
+    assert harness.group.primary == "r2"
+
+
+def test_leaving_primary_is_kept_when_its_candidate_is_cut_off_during_the_failover():
+    """Guards against a failover that waits for a lost candidate for 6 s, although the
+    primary still serves.
+    """
+    harness = make_harness()
+    harness.failover.handle(make_leaving("p", "r1"), harness.now)
+    harness.statuses["p"] = make_status("p", 9, is_primary=True)
+    harness.run(1.0, alive=["p"])
+    assert harness.group.phase is GroupPhase.CHANGING
+    lose(harness, "r2")
+    harness.run(4.0, alive=["p"])
+    assert harness.promotions == []
+    assert (harness.group.primary, harness.group.phase) == ("p", GroupPhase.STEADY)
+
+
+def test_leaving_primary_is_not_replaced_by_a_replica_that_lacks_entries():
+    """Guards against the loss of acknowledged writes while the primary still has
+    them.
+    """
+    harness = make_harness()
+    harness.failover.handle(make_leaving("p"), harness.now)
+    harness.statuses["p"] = make_status("p", 20, is_primary=True)
+    harness.run(6.0, alive=["p"])
+    assert harness.promotions == []
+
+
+def test_primary_stays_while_its_whole_group_leaves():
+    """Guards against a failover to a database that is about to end."""
+    harness = make_harness()
+    harness.failover.handle(make_leaving("p", "r1", "r2"), harness.now)
+    harness.run(6.0, alive=["p"])
+    assert (harness.promotions, harness.proposals) == ([], [])
