A database of an older term waits for one that followed the recorded primary

Cause: a failover waited 2 s for a database of the recorded term and then promoted any. Its holder gave up after 6 s, and whoever took over could not return to the recorded primary, since an order of an earlier holder might be under way. Change: an older term is promoted only after 300 s without a primary, as regions lose each other for minutes. A holder that has ordered nothing renews its failover instead of giving it up, and so keeps a primary that returns; one that took over promotes the recorded primary again.

--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -62,9 +62,12 @@
 STATUS_QUERY_INTERVAL_SECONDS = 0.25
 # Maximum wait for all replicas to answer; then the best of those that did is promoted.
 MAX_STATUS_WAIT_SECONDS = 0.6
-# Maximum wait of a planned failover for a replica to receive all entries, and of any
-# failover for a replica that has followed the recorded primary.
+# Maximum wait of a planned failover for a replica to receive all entries.
 MAX_CATCH_UP_SECONDS = 2.0
+# Maximum time of a group without a primary in which a failover waits for a database
+# that has followed the recorded primary. Regions lose each other for minutes, and a
+# promotion of an older term loses all that was acknowledged since.
+MAX_RECORDED_TERM_WAIT_SECONDS = 300.0
 # A planned failover starts if a candidate has answered within this time.
 CANDIDATE_ANSWER_SECONDS = 1.0
 PROBE_INTERVAL_SECONDS = 0.25
@@ -93,6 +96,8 @@
     :ivar due_at: time of the next action of the current step.
     :ivar queried_since: when the current round of status queries started.
     :ivar refused_targets: databases that the platform refused to promote.
+    :ivar is_renewed: the group was marked before by this process, so that no lease on
+        its primary is left.
     :ivar target: database that is to be the primary.
     :ivar term: highest log term that the databases reported before the promotion, then
         that of the new primary.
@@ -105,6 +110,7 @@
         reason: str,
         is_planned: bool,
         may_have_promoted: bool = False,
+        is_renewed: bool = False,
     ) -> None:
         self.started_at = started_at
         self.record = record
@@ -112,6 +118,7 @@
         self.is_planned = is_planned
         self.fence = 0
         self.may_have_promoted = may_have_promoted
+        self.is_renewed = is_renewed
         self.step: FailoverStep = FailoverStep.AWAIT_LEASE_EXPIRY
         self.due_at: float = 0.0
         self.queried_since: float = 0.0
@@ -447,6 +454,9 @@
             else HOLDER_TIMEOUT_SECONDS
         )
         if now - failover.started_at > limit:
+            has_ordered = may_have_ordered or failover.may_have_promoted
+            if failover.step is FailoverStep.QUERY_REPLICAS and not has_ordered:
+                return self._renew(name, failover, now)
             return self._abandon(name, "out of time")
         if failover.step is FailoverStep.AWAIT_LEASE_EXPIRY:
             return self._await_lease_expiry(name, failover, now)
@@ -465,6 +475,19 @@
             return [Emission("proposals", self._make_final_proposal(failover))]
         return []
 
+    def _renew(self, name: str, failover: _Failover, now: float) -> list[Emission]:
+        """Go on with a failover that has ordered no promotion, for another period."""
+        renewed = replace(failover.record, attempt=failover.record.attempt + 1)
+        self._failovers[name] = _Failover(
+            started_at=now,
+            record=renewed,
+            reason=failover.reason,
+            is_planned=failover.is_planned,
+            is_renewed=True,
+        )
+        proposal = GroupProposal(renewed, failover.record, acquires_fencing_token=True)
+        return [Emission("proposals", proposal)]
+
     def _await_lease_expiry(
         self, name: str, failover: _Failover, now: float
     ) -> list[Emission]:
@@ -473,9 +496,10 @@
             if current == failover.record and self._record.holder == self._instance:
                 # The write has taken effect: later evidence renews no lease.
                 failover.fence = self._record.fence
-                failover.due_at = (
-                    now + PRIMARY_LEASE_SECONDS + PRIMARY_LEASE_MARGIN_SECONDS
-                )
+                failover.due_at = now
+                if failover.is_renewed:
+                    return []
+                failover.due_at += PRIMARY_LEASE_SECONDS + PRIMARY_LEASE_MARGIN_SECONDS
                 return [self._make_started_event(failover, now)]
             elif now - failover.started_at > HOLDER_TIMEOUT_SECONDS / 3:
                 del self._failovers[name]
@@ -530,18 +554,17 @@
         )
         is_complete = all(item.name in failover.statuses for item in candidates)
         has_waited = is_complete or waited > MAX_STATUS_WAIT_SECONDS
-        target = None
-        if best is not None and has_waited:
-            is_behind = self._is_missing_entries(failover, best) or is_behind_record(
-                best, failover.record
-            )
-            if not is_behind or waited > MAX_CATCH_UP_SECONDS:
-                target = best.database
+        if best is None or is_behind_record(best, failover.record):
+            target = self._find_target_behind_record(failover, best, now)
+        elif has_waited and not self._is_missing_entries(failover, best):
+            target = best.database
+        else:
+            target = best.database if waited > MAX_CATCH_UP_SECONDS else None
         if waited > MAX_CATCH_UP_SECONDS and self._may_keep_planned(failover, best):
             # It is healthy, and a promotion would lose what it acknowledged.
             reason = "no candidate has received all entries"
             return self._keep_primary(name, failover, reason, now)
-        if target is not None:
+        if target is not None and has_waited:
             return self._promote(name, failover, target, now)
         emissions = []
         if waited > MAX_STATUS_WAIT_SECONDS:
@@ -556,6 +579,42 @@
         queries = [Emission("databases", QueryDatabaseStatus(item)) for item in queried]
         return [*emissions, *queries]
 
+    def _find_target_behind_record(
+        self, failover: _Failover, best: DatabaseStatus | None, now: float
+    ) -> str | None:
+        """Return what to promote while no candidate has followed the recorded primary.
+
+        A candidate of an older term may hold commits that were rolled back for those
+        who read in the recorded term, and lacks those of that term. So the recorded
+        primary, or a database that has followed it, is waited for.
+
+        :returns: ``None`` to wait.
+        """
+        record = failover.record
+        if now - failover.queried_since <= MAX_STATUS_WAIT_SECONDS:
+            return None
+        entry = self._directory.find(record.primary)
+        status = failover.statuses.get(record.primary)
+        if (
+            failover.may_have_promoted
+            and entry is not None
+            and is_recorded_process(entry, record)
+            and not entry.is_leaving
+            and not self._directory.is_evacuated(entry)
+            and entry.name not in failover.refused_targets
+            and status is not None
+            and status.is_alive
+            and not is_behind_record(status, record)
+        ):
+            # An order of an earlier holder may be under way, so it is promoted again.
+            return record.primary
+        unserved_since = self._groups[record.group].unserved_since
+        has_expired = (
+            unserved_since is not None
+            and now - unserved_since > MAX_RECORDED_TERM_WAIT_SECONDS
+        )
+        return best.database if best is not None and has_expired else None
+
     def _may_keep_planned(
         self, failover: _Failover, best: DatabaseStatus | None
     ) -> bool:
--- a/tests/test_leaving_databases.py
+++ b/tests/test_leaving_databases.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from sardinemill.fleet.failover import (
+    MAX_RECORDED_TERM_WAIT_SECONDS,
+    TAKEOVER_DELAY_SECONDS,
+)
 from sardinemill.fleet.failover_messages import DatabaseStatus
 from sardinemill.fleet.records import GroupPhase
 from sardinemill.fleet.views import PositionSeen
@@ -28,6 +32,7 @@
     WRITE,
     make_confirmed,
     make_directory,
+    make_record,
     make_routes_changed,
     make_statement_request,
     select,
@@ -265,3 +270,44 @@
     harness.failover.handle(make_leaving("p", "r1", "r2"), harness.now)
     harness.run(6.0, alive=["p"])
     assert (harness.promotions, harness.proposals) == ([], [])
+
+
+def make_superseded_harness(**fields):
+    """Return a harness in which r2 leads term 4, and only p of term 3 answers."""
+    harness = make_harness(record=make_record("r2", term=4, **fields))
+    harness.statuses = {"p": make_status("p", 20, term=3, is_primary=True)}
+    lose(harness, "r1", "r2")
+    return harness
+
+
+def test_recorded_primary_that_was_dark_is_kept_over_a_superseded_one():
+    """Guards against the promotion of an older term while the recorded primary is dark
+    for 8.6 s (review/6, review/7).
+    """
+    harness = make_superseded_harness()
+    harness.run(8.6, failing=["r2"])
+    assert (harness.promotions, harness.group.phase) == ([], GroupPhase.CHANGING)
+    harness.statuses["r2"] = make_status("r2", 9, term=4, is_primary=True)
+    harness.run(1.0, alive=["r2"])
+    assert harness.promotions == []
+    assert (harness.group.primary, harness.group.phase) == ("r2", GroupPhase.STEADY)
+
+
+def test_takeover_promotes_the_recorded_primary_rather_than_a_superseded_one():
+    """Guards against the promotion of an older term by a coordinator that does not know
+    what the first holder has ordered.
+    """
+    harness = make_superseded_harness(phase=GroupPhase.CHANGING)
+    harness.statuses["r2"] = make_status("r2", 9, term=4, is_primary=True)
+    harness.accepts_promotions = False
+    harness.run(TAKEOVER_DELAY_SECONDS + 3.0, alive=["r2"])
+    assert [command.database for _, command in harness.promotions] == ["r2"]
+
+
+def test_superseded_database_is_promoted_when_no_other_one_returns():
+    """Guards against a group that stays without a primary for ever."""
+    harness = make_superseded_harness()
+    harness.run(MAX_RECORDED_TERM_WAIT_SECONDS, failing=["r2"])
+    assert harness.promotions == []
+    harness.run(2.0, failing=["r2"])
+    assert [command.database for _, command in harness.promotions] == ["p"]
