--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -57,6 +57,7 @@
 NEVER = float("-inf")
 # Codes that say that something is missing in the newest configuration.
 ABSENCE_CODES = (ErrorCode.NO_DATABASE, ErrorCode.ACCESS_DENIED)
+UNKNOWN_KEY = (ErrorCode.ACCESS_DENIED, "unknown key")
 UNCONFIRMED_MESSAGE = "the configuration may be outdated; retry after 0.5 s"
 STOPPING_MESSAGE = "the instance is stopping; retry on another connection"
 
@@ -80,8 +81,8 @@
 class _Session:
     """State of one client connection.
 
-    :ivar key: API key of the client; BEGIN and each read or write check it again, so
-        that a withdrawn key takes effect at once.
+    :ivar key: API key of the client; BEGIN, COMMIT and each read or write check it
+        again, so that a withdrawn key takes effect at once.
     :ivar prepared: prepared statements by the client's name.
     :ivar minimum_positions: position of the last own write by database group.
     :ivar current_request: request in progress.
@@ -323,9 +324,26 @@
             return None, (ErrorCode.NO_DATABASE, "no such database")
         workspace = self._route_table.workspaces.get(key)
         if workspace is None and not route.is_open:
-            return None, (ErrorCode.ACCESS_DENIED, "unknown key")
+            return None, UNKNOWN_KEY
         return (route, workspace or ANONYMOUS_WORKSPACE), None
 
+    def _check_key(
+        self, session: _Session, route: Route, workspace: str
+    ) -> tuple[ErrorCode, str] | None:
+        """Return why a key no longer covers work that it began, ``None`` if it does.
+
+        The work goes on with the route that it began on, also if that is removed.
+
+        :param workspace: of the work, in whose name the database runs it.
+        """
+        current = self._route_table.workspaces.get(session.key)
+        if current is None and not route.is_open:
+            return UNKNOWN_KEY
+        if (current or ANONYMOUS_WORKSPACE) == workspace:
+            return None
+        code = ErrorCode.BUSY if session.transaction is None else ErrorCode.ABORTED
+        return code, "the key belongs to another workspace now; retry after 0.1 s"
+
     def _find_configuration_age(self, now: float) -> float | None:
         """Return the age of the proof that no newer configuration exists."""
         age = now - self._routes_confirmed_at
@@ -439,6 +457,12 @@
         if transaction.is_failed:
             session.transaction = None
             return [_make_refusal(session, ErrorCode.ABORTED, "the transaction failed")]
+        ended = self._check_key(session, transaction.route, transaction.workspace)
+        if ended is not None:
+            emissions = self._abandon_transaction(session)
+            session.transaction = None
+            refusal = _make_refusal(session, *self._qualify_refusal(ended, now))
+            return [*emissions, refusal]
         return self._send_request(
             session,
             message,
@@ -463,20 +487,20 @@
                     session, ErrorCode.UNKNOWN_STATEMENT, statement.name
                 )
             is_read_only = prepared.is_read_only
-        resolved, refusal = self._resolve_route(session.database, session.key)
         transaction = session.transaction
-        if resolved is None:
-            assert refusal is not None
-            # A removed route still serves the transactions that began on it.
-            if transaction is None or refusal[0] is not ErrorCode.NO_DATABASE:
-                code, text = self._qualify_refusal(refusal, now)
-                return self._refuse_and_abort(session, code, text)
+        refusal: tuple[ErrorCode, str] | None
         if transaction is None:
-            assert resolved is not None
-            route, workspace = resolved
-            step = TransactionStep.NONE
+            resolved, refusal = self._resolve_route(session.database, session.key)
         else:
-            route, workspace = transaction.route, transaction.workspace
+            resolved = transaction.route, transaction.workspace
+            refusal = self._check_key(session, *resolved)
+        if refusal is not None:
+            code, text = self._qualify_refusal(refusal, now)
+            return self._refuse_and_abort(session, code, text)
+        assert resolved is not None
+        route, workspace = resolved
+        step = TransactionStep.NONE
+        if transaction is not None:
             is_first = not transaction.has_begun
             step = TransactionStep.FIRST if is_first else TransactionStep.LATER
             is_read_only = transaction.is_read_only
