Requests that wait are revoked when their key ends

Cause: the key of a statement was checked once, on arrival. Change: each configuration checks the requests in progress. A RequestRevoked follows the request through admission to placement, so that it cannot overtake it. What has not run is refused at once, as not run; nothing is repeated; a gateway gets GatewayWithdrawal, which one of an earlier version drops. What runs at a database ends as before, and its answer is delivered.

--- a/src/sardinemill/codecs.py
+++ b/src/sardinemill/codecs.py
@@ -53,6 +53,7 @@
         gateway_messages.GatewayOutcome,
         gateway_messages.GatewayStatement,
         gateway_messages.GatewayWelcome,
+        gateway_messages.GatewayWithdrawal,
     )
 }
 
--- a/src/sardinemill/session_composition.py
+++ b/src/sardinemill/session_composition.py
@@ -33,6 +33,7 @@
     GatewayOutcome,
     GatewayStatement,
     GatewayWelcome,
+    GatewayWithdrawal,
 )
 from .sessions.manager import SessionManager
 from .sessions.messages import DrainStarted, SessionsEnding
@@ -371,6 +372,7 @@
                     TokenGrant: admission,
                     GatewayGreeting: gateway,
                     GatewayStatement: gateway,
+                    GatewayWithdrawal: gateway,
                     GatewayOutcome: placement,
                     GatewayWelcome: placement,
                 }
--- a/src/sardinemill/sessions/admission.py
+++ b/src/sardinemill/sessions/admission.py
@@ -10,7 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 
@@ -24,7 +24,13 @@
 from ..fleet.views import ReachableCoordinatorsChanged
 from ..groups import rank_candidates
 from ..interfaces import Emission
-from .messages import Effect, ErrorCode, StatementRequest, StatementResult
+from .messages import (
+    Effect,
+    ErrorCode,
+    RequestRevoked,
+    StatementRequest,
+    StatementResult,
+)
 from .routes import (
     EMPTY_ROUTE_TABLE,
     UNUSABLE_WORKSPACE,
@@ -145,7 +151,7 @@
 class Admission:
     """Holds an operation until a token is available, or refuses it.
 
-    Outlets: ``next`` (:class:`StatementRequest`), ``result``
+    Outlets: ``next`` (:class:`StatementRequest`, :class:`RequestRevoked`), ``result``
     (:class:`StatementResult`), ``peers`` (:class:`TokenRequest`).
 
     :param instance: name of this instance.
@@ -173,6 +179,8 @@
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         if isinstance(message, StatementRequest):
             return self._handle_request(message, now)
+        if isinstance(message, RequestRevoked):
+            return self._revoke(message)
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, TokenGrant):
                 self._silent_until.pop(message.peer, None)
@@ -268,6 +276,23 @@
         limiter.queue.append(request)
         return self._request_tokens(plan.name, limiter, now)
 
+    def _revoke(self, revoked: RequestRevoked) -> list[Emission]:
+        """Refuse an operation that waits for a token, or pass the message on."""
+        request = revoked.request
+        limiter = self._limiters.get(request.workspace)
+        if limiter is None or request not in limiter.queue:
+            return [Emission("next", revoked)]
+        # Its reserved token, if it has one, admits the next operation.
+        place = limiter.queue.index(request) - len(limiter.reservations)
+        limiter.queue.remove(request)
+        pending = limiter.pending_request
+        if pending is not None and 0 <= place < pending.n_waiting:
+            limiter.pending_request = replace(pending, n_waiting=pending.n_waiting - 1)
+        result = StatementResult(
+            request=request, code=revoked.code, message=revoked.message
+        )
+        return [Emission("result", result)]
+
     def _handle_result(self, result: StatementResult, now: float) -> None:
         """Restore the token of an operation that did not run."""
         limiter = self._limiters.get(result.request.workspace)
--- a/src/sardinemill/sessions/connection_pool.py
+++ b/src/sardinemill/sessions/connection_pool.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -239,6 +239,15 @@
             self._state.remove_queued(dispatch)
         return queued
 
+    def remove_request(self, request_ids: Iterable[int]) -> Dispatch | None:
+        """Remove and return a queued statement, ``None`` if none of them is queued."""
+        for request_id in request_ids:
+            dispatch = self._state.find_queued(request_id)
+            if dispatch is not None:
+                self._state.remove_queued(dispatch)
+                return dispatch
+        return None
+
     def close_connections(self, database: str) -> list[Emission]:
         """Close the connections to a database that run no statement.
 
--- a/src/sardinemill/sessions/connections.py
+++ b/src/sardinemill/sessions/connections.py
@@ -243,6 +243,14 @@
         """Return the statements queued for a database, in the order of service."""
         return list(self._queues.get(database, ()))
 
+    def find_queued(self, request_id: int) -> Dispatch | None:
+        """Return a queued statement, ``None`` if it is not queued."""
+        for queue in self._queues.values():
+            for dispatch in queue:
+                if dispatch.request.request_id == request_id:
+                    return dispatch
+        return None
+
     def remove_queued(self, dispatch: Dispatch) -> None:
         """Remove a statement from its queue."""
         queue = self._queues.get(dispatch.database, [])
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -26,6 +26,7 @@
     GatewayOutcome,
     GatewayStatement,
     GatewayWelcome,
+    GatewayWithdrawal,
     PeerIntroduced,
     are_encodable,
 )
@@ -133,6 +134,8 @@
         if isinstance(message, PeerEnvelope):
             if isinstance(message.message, GatewayStatement):
                 return self._handle_statement(message.peer, message.message, now)
+            if isinstance(message.message, GatewayWithdrawal):
+                return self._withdraw(_Origin(message.peer, message.message.number))
             if isinstance(message.message, GatewayGreeting):
                 self._peers_to_welcome.append(message.peer)
                 return self._introduce(message.peer, message.message.introduction)
@@ -253,6 +256,15 @@
             *self._pool.enqueue(dispatch, now),
         ]
 
+    def _withdraw(self, origin: _Origin) -> list[Emission]:
+        """Refuse a statement that still waits; its sender must not run it any more."""
+        dispatch = self._pool.remove_request(
+            request_id
+            for request_id, known_origin in self._origins.items()
+            if known_origin == origin
+        )
+        return [] if dispatch is None else [self._refuse(dispatch, "withdrawn")]
+
     def _introduce(self, peer: str, introduction: Introduction) -> list[Emission]:
         if self._introductions.get(peer) == introduction:
             return []
--- a/src/sardinemill/sessions/gateway_client.py
+++ b/src/sardinemill/sessions/gateway_client.py
@@ -13,8 +13,8 @@
 from ..fleet.gateway_table import GatewayTable
 from ..fleet.messages import Introduction
 from ..fleet.views import Identity
-from .gateway_messages import GatewayGreeting, GatewayStatement
-from .messages import Dispatch
+from .gateway_messages import GatewayGreeting, GatewayStatement, GatewayWithdrawal
+from .messages import Dispatch, StatementRequest
 
 # A gateway that did not answer, or that does not reach a database, gets no statements
 # for this time, after which the coordinators have assigned another one.
@@ -158,6 +158,14 @@
             self._silent_until[item.gateway] = now + SILENCE_BACKOFF_SECONDS
         return expired
 
+    def withdraw(self, request: StatementRequest) -> PeerEnvelope | None:
+        """Return the message that withdraws a statement, if it was forwarded."""
+        for item in self._forwards.values():
+            if item.dispatch.request is request:
+                message = GatewayWithdrawal(item.number)
+                return PeerEnvelope(peer=item.gateway, message=message)
+        return None
+
     def find_next_deadline(self) -> float:
         """Return the earliest attempt deadline, infinity without any."""
         deadlines = (item.dispatch.attempt_deadline for item in self._forwards.values())
--- a/src/sardinemill/sessions/gateway_messages.py
+++ b/src/sardinemill/sessions/gateway_messages.py
@@ -83,6 +83,18 @@
     sent_checksum: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayWithdrawal:
+    """A forwarded statement must not run if the gateway has not sent it yet.
+
+    The outcome of the statement follows as usual.
+
+    :param number: of the :class:`GatewayStatement`.
+    """
+
+    number: int
+
+
 def is_forwardable(request: StatementRequest) -> bool:
     """Return whether another instance gets the texts of a statement unchanged.
 
--- a/src/sardinemill/sessions/manager.py
+++ b/src/sardinemill/sessions/manager.py
@@ -21,6 +21,7 @@
     Effect,
     ErrorCode,
     PreparedStatement,
+    RequestRevoked,
     SessionAccepted,
     SessionClosed,
     SessionOpened,
@@ -82,7 +83,8 @@
     """State of one client connection.
 
     :ivar key: API key of the client; BEGIN, COMMIT and each read or write check it
-        again, so that a withdrawn key takes effect at once.
+        again, and each configuration checks it for the request in progress, so that a
+        withdrawn key takes effect at once.
     :ivar prepared: prepared statements by the client's name.
     :ivar minimum_positions: position of the last own write by database group.
     :ivar current_request: request in progress.
@@ -106,7 +108,8 @@
 class SessionManager:
     """Answers statements that need no database and forwards the others as requests.
 
-    Outlets: ``next`` (:class:`StatementRequest`), ``client`` (answers), ``abandoned``
+    Outlets: ``next`` (:class:`StatementRequest`, :class:`RequestRevoked`), ``client``
+    (answers), ``abandoned``
     (:class:`TransactionAbandoned`), ``refused`` (:class:`MessageRefused`), ``events``.
 
     :param state_bytes: limit of the variables and prepared statements of all sessions.
@@ -154,7 +157,7 @@
             return self._close_session(message.session_id, now)
         if isinstance(message, RoutesChanged):
             self._route_table = message.table
-            return self._open_waiting(now)
+            return [*self._open_waiting(now), *self._revoke_requests()]
         if isinstance(message, RoutesConfirmed):
             self._routes_confirmed_at = message.confirmed_at
             return ()
@@ -344,6 +347,18 @@
         code = ErrorCode.BUSY if session.transaction is None else ErrorCode.ABORTED
         return code, "the key belongs to another workspace now; retry after 0.1 s"
 
+    def _revoke_requests(self) -> list[Emission]:
+        """Revoke the requests in progress whose keys the configuration has ended."""
+        emissions: list[Emission] = []
+        for session in self._sessions.values():
+            request = session.current_request
+            if request is None:
+                continue
+            refusal = self._check_key(session, request.route, request.workspace)
+            if refusal is not None:
+                emissions.append(Emission("next", RequestRevoked(request, *refusal)))
+        return emissions
+
     def _find_configuration_age(self, now: float) -> float | None:
         """Return the age of the proof that no newer configuration exists."""
         age = now - self._routes_confirmed_at
--- a/src/sardinemill/sessions/messages.py
+++ b/src/sardinemill/sessions/messages.py
@@ -244,6 +244,20 @@
     text_checksum: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestRevoked:
+    """The key of a request in progress has ended; what has not run must not run.
+
+    Follows the request through the same filters, so that it never overtakes it.
+
+    :param code: of the answer if the request has not run.
+    """
+
+    request: StatementRequest
+    code: ErrorCode
+    message: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Dispatch:
     """Attempt to run a statement at one database.
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -35,6 +35,7 @@
     Dispatch,
     Effect,
     ErrorCode,
+    RequestRevoked,
     StatementRequest,
     StatementResult,
     TransactionAbandoned,
@@ -64,11 +65,13 @@
         on the primary.
     :ivar evidence_age_seconds: age of the evidence that chose the database.
     :ivar gateway: instance that the current attempt was forwarded to, ``""`` if none.
+    :ivar revoked: the key has ended; the statement gets no further attempt.
     """
 
     def __init__(self, request: StatementRequest) -> None:
         self.request = request
         self.gateway = ""
+        self.revoked: RequestRevoked | None = None
         self.tried: set[str] = set()
         self.n_attempts = 0
         self.is_on_primary = False
@@ -128,6 +131,8 @@
     def handle(self, message: object, now: float) -> Sequence[Emission]:
         if isinstance(message, StatementRequest):
             return self._handle_request(message, now)
+        if isinstance(message, RequestRevoked):
+            return self._revoke(message)
         if isinstance(message, StatementFinished):
             return self._handle_finished(message, now)
         if isinstance(message, PeerEnvelope):
@@ -222,6 +227,18 @@
             return self._refuse(pending, ErrorCode.ABORTED, "the connection was lost")
         return self._choose_database(pending, now)
 
+    def _revoke(self, revoked: RequestRevoked) -> list[Emission]:
+        """Refuse a statement that waits here, and let no other one be repeated."""
+        request = revoked.request
+        pending = self._pending.get(request.request_id)
+        if pending is None:
+            return []
+        pending.revoked = revoked
+        if self._pool.remove_request([request.request_id]) is not None:
+            return self._refuse(pending, revoked.code, revoked.message)
+        withdrawal = self._gateways.withdraw(request)
+        return [] if withdrawal is None else [Emission("peers", withdrawal)]
+
     def _continue_transaction(
         self, pending: _PendingStatement, pinned: Connection, now: float
     ) -> list[Emission]:
@@ -545,6 +562,8 @@
             return []
         if code is ErrorCode.STALE:
             self._databases.record_lag(database, now)
+        if pending.revoked is not None and effect is Effect.NOT_RUN:
+            return self._refuse(pending, pending.revoked.code, pending.revoked.message)
         if not is_database_usable:
             pending.tried.add(database)
         may_repeat = is_database_usable and _may_repeat(pending, effect, now)
@@ -591,6 +610,8 @@
         now: float,
     ) -> bool:
         request = pending.request
+        if pending.revoked is not None:
+            return False
         if not request.is_read_only or pending.n_attempts >= MAX_ATTEMPTS:
             return False
         if now >= request.deadline:
