--- a/src/sardinemill/events.py
+++ b/src/sardinemill/events.py
@@ -144,9 +144,6 @@
     CHANGE_COMPLETED = EventKind(
         312, "warning", "A failover has completed; the group has a new primary."
     )
-    CANDIDATE_AWAITED = EventKind(
-        321, "warning", "A failover waits for a database that can be promoted."
-    )
     CHANGE_ABANDONED = EventKind(
         313, "warning", "A failover ended without a new primary."
     )
@@ -175,6 +172,9 @@
         "warning",
         "A database that acts as primary against the record is told to step down.",
     )
+    CANDIDATE_AWAITED = EventKind(
+        321, "warning", "A failover waits for a database that can be promoted."
+    )
 
     # 4xx rate limits
     SHARD_TAKEN = EventKind(
--- a/src/sardinemill/fleet/failover.py
+++ b/src/sardinemill/fleet/failover.py
@@ -137,10 +137,10 @@
     :ivar changing_since: since when the failover in the record has had its current
         ``changing_key``.
     :ivar changing_key: holder, fencing token and attempt of that failover.
-    :ivar unserved_since: since when the record names no primary to use.
-    :ivar statuses: last answers of the databases before a planned failover, with their
-        times.
-    :ivar queried_at: time of the last queries for them.
+    :ivar unserved_since: since when the group has been marked as changing.
+    :ivar statuses: last answers of the databases since there is a reason to replace the
+        primary, with their times.
+    :ivar queried_at: time of the last status queries before a planned failover.
     :ivar is_wait_reported: the log says that this failover waits.
     """
 
@@ -249,6 +249,7 @@
         if reason is None:
             state.suspected_since = None
             state.is_wait_reported = False
+            state.statuses.clear()
             return emissions
         if state.suspected_since is None:
             state.suspected_since = now
--- a/src/sardinemill/sessions/databases.py
+++ b/src/sardinemill/sessions/databases.py
@@ -157,7 +157,7 @@
         )
         return decide_usage(condition, self._grace_periods)
 
-    def list_withdrawn(self) -> list[DatabaseEntry]:
+    def list_ending(self) -> list[DatabaseEntry]:
         """Return the databases that are evacuated, leave or have left."""
         present = [
             entry
--- a/src/sardinemill/sessions/gateway.py
+++ b/src/sardinemill/sessions/gateway.py
@@ -135,7 +135,9 @@
             if isinstance(message.message, GatewayStatement):
                 return self._handle_statement(message.peer, message.message, now)
             if isinstance(message.message, GatewayWithdrawal):
-                return self._withdraw(_Origin(message.peer, message.message.number))
+                return self._handle_withdrawal(
+                    _Origin(message.peer, message.message.number)
+                )
             if isinstance(message.message, GatewayGreeting):
                 self._peers_to_welcome.append(message.peer)
                 return self._introduce(message.peer, message.message.introduction)
@@ -182,7 +184,7 @@
     def _withdraw_queued(self, now: float) -> list[Emission]:
         """Pass back what waits for databases that may get no new work."""
         emissions: list[Emission] = []
-        for entry in self._databases.list_withdrawn():
+        for entry in self._databases.list_ending():
             decision = self._databases.decide_usage(entry, now)
             is_gone = self._databases.find_entry(entry.name, now) is None
             if not (is_gone or decision.usage in _WITHOUT_NEW_WORK):
@@ -256,7 +258,7 @@
             *self._pool.enqueue(dispatch, now),
         ]
 
-    def _withdraw(self, origin: _Origin) -> list[Emission]:
+    def _handle_withdrawal(self, origin: _Origin) -> list[Emission]:
         """Refuse a statement that still waits; its sender must not run it any more."""
         dispatch = self._pool.remove_request(
             request_id
--- a/src/sardinemill/sessions/placement.py
+++ b/src/sardinemill/sessions/placement.py
@@ -190,7 +190,7 @@
         statements wait for its connections.
         """
         emissions: list[Emission] = []
-        for entry in self._databases.list_withdrawn():
+        for entry in self._databases.list_ending():
             if self._databases.may_run_queued(entry, now):
                 continue
             decision = self._databases.decide_usage(entry, now)
@@ -228,7 +228,7 @@
         return self._choose_database(pending, now)
 
     def _revoke(self, revoked: RequestRevoked) -> list[Emission]:
-        """Refuse a statement that waits here, and let no other one be repeated."""
+        """Refuse a statement that waits; one that runs already is not repeated."""
         request = revoked.request
         pending = self._pending.get(request.request_id)
         if pending is None:
